Log counts of answers and attempts every 5 s, and what discovery tells

The log told of start, reload and end only, so a bad stretch could not be set beside a good one. A line each 5 s now counts requests taken, refused (at once, or later), failed and left, attempts by outcome, the mean time to an attempt's first byte and from there on, and the loop's worst lag; nothing is written while nothing happens. Each watch on discovery and each list from it is a line too, within the bound on lines that peers cause.

--- a/src/main/java/pumicekeel/node/BalancerCore.java
+++ b/src/main/java/pumicekeel/node/BalancerCore.java
@@ -42,6 +42,7 @@
   private final Clock clock;
   private final EventLoop loop;
   private final LoopLag lag;
+  private final Counters counters = new Counters();
   private final Consumer<RuntimeException> defect;
   private final Map<String, OpenRequest> table = new HashMap<>();
   private final UpstreamTable upstreams;
@@ -49,6 +50,8 @@
   private final List<OpenRequest> over = new ArrayList<>();
   private Consumer<Boolean> watch = on -> {};
   private boolean handling;
+  /** The event that is being handled is a request that just came in. */
+  private boolean taking;
   private long endsAt = Long.MAX_VALUE;
 
   BalancerCore(Settings settings, Balancer module, Clock clock, EventLoop loop, LoopLag lag,
@@ -62,6 +65,14 @@
     this.defect = defect;
   }
 
+  /** Logs what was done since the last report, if anything was. */
+  void report() {
+    String line = counters.report();
+    if (line != null) {
+      Log.line("open " + table.size() + ", " + line);
+    }
+  }
+
   /** Starts with the list as last held; {@code watch} carries out the module's wish to follow it. */
   void start(HostList known, Consumer<Boolean> watch) {
     this.watch = watch;
@@ -78,6 +89,7 @@
     if (table.putIfAbsent(request.id(), r) != null) {
       return false;
     }
+    counters.taken();
     r.guard = loop.schedule(() -> answerForModule(r), left + GUARD_NANOS, TimeUnit.NANOSECONDS);
     tell(new Request(request.id(), request.type().name(), request.tenant(), request.key(), r.deadline,
         request.hintNanos(), request.retry()));
@@ -94,6 +106,7 @@
   void clientGone(String id) {
     OpenRequest r = table.get(id);
     if (r != null && end(r)) {
+      counters.left();
       tell(new ClientGone(id));
     }
   }
@@ -102,24 +115,34 @@
   private void answerForModule(OpenRequest r) {
     if (end(r)) {
       Log.caused("answered for the module: " + r.request.id());
-      giveUp(r, 0);
+      giveUp(r);
       tell(new ClientGone(r.request.id()));
     }
   }
 
-  private static void giveUp(OpenRequest r, long retryAfterNanos) {
+  private void giveUp(OpenRequest r) {
     if (r.mayRefuse()) {
-      r.client.refused(retryAfterNanos);
+      refuse(r, 0);
     } else {
-      r.client.failed();
+      fail(r);
     }
   }
 
+  private void refuse(OpenRequest r, long retryAfterNanos) {
+    counters.refused(r.attempts.isEmpty() && taking);
+    r.client.refused(retryAfterNanos);
+  }
+
+  private void fail(OpenRequest r) {
+    counters.failed();
+    r.client.failed();
+  }
+
   /** Answers all that is open, for an end that leaves no time. */
   void answerAll() {
     for (OpenRequest r : List.copyOf(table.values())) {
       if (end(r)) {
-        giveUp(r, 0);
+        giveUp(r);
       }
     }
   }
@@ -161,6 +184,7 @@
     handling = true;
     try {
       for (Event next = events.poll(); next != null; next = events.poll()) {
+        taking = next instanceof Request;
         module.handle(clock.now(), next, this::perform);
       }
       over.stream().filter(OpenRequest::over).forEach(r -> table.remove(r.request.id(), r));
@@ -181,12 +205,12 @@
     } else if (action instanceof Refuse a) {
       OpenRequest r = table.get(a.id());
       if (r != null && end(r)) {
-        r.client.refused(a.retryAfterNanos());
+        refuse(r, a.retryAfterNanos());
       }
     } else if (action instanceof Fail a) {
       OpenRequest r = table.get(a.id());
       if (r != null && end(r)) {
-        r.client.failed();
+        fail(r);
       }
     } else if (action instanceof SetTimer a) {
       loop.schedule(() -> tell(new TimerFired(a.token())), Math.max(0, a.atNanos() - clock.now()),
@@ -239,8 +263,10 @@
       r.client.served(answer);
     }
     over.add(r);
-    tell(new Outcome(r.request.id(), attempt.number, attempt.upstream, status,
-        attempt.latencyNanos(clock.now() - lag.waitNanos()), r.ended, Map.of(),
+    long latency = attempt.latencyNanos(clock.now() - lag.waitNanos());
+    counters.ended(status, attempt.stale(), attempt.unsentNanos(), latency);
+    counters.lag(lag.lateNanos());
+    tell(new Outcome(r.request.id(), attempt.number, attempt.upstream, status, latency, r.ended, Map.of(),
         attempt.stale()));
   }
 }
--- a/src/main/java/pumicekeel/node/Discovery.java
+++ b/src/main/java/pumicekeel/node/Discovery.java
@@ -121,6 +121,7 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
+      Log.caused("discovery: watches " + address + (index == NO_INDEX ? "" : " from version " + index));
       DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
           "/discovery/hosts?watch=1" + (index == NO_INDEX ? "" : "&after=" + index));
       request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
@@ -164,6 +165,7 @@
           if (!text.isBlank()) {
             HostList list = HostList.of(Fields.parse("list", text));
             index = list.index();
+            Log.caused("discovery: " + list);
             news.accept(list);
           }
         }
--- a/src/main/java/pumicekeel/node/HostList.java
+++ b/src/main/java/pumicekeel/node/HostList.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import pumicekeel.Balancer.Listed;
 import pumicekeel.Balancer.State;
@@ -21,6 +22,17 @@
         list.objects("endpoints").stream().map(HostList::host).toList());
   }
 
+  /** For the log: how much it holds, and not all of it. */
+  @Override
+  public String toString() {
+    StringBuilder text = new StringBuilder("version " + index + (whole ? ", the whole list" : ", changes"));
+    for (State state : State.values()) {
+      text.append(", ").append(hosts.stream().filter(h -> h.listed().state() == state).count())
+          .append(' ').append(state.name().toLowerCase(Locale.ROOT));
+    }
+    return text.toString();
+  }
+
   private static Host host(Fields f) {
     Listed listed = new Listed(idOf(f.text("name")), f.text("zone", ""), (int) f.integer("group", 0),
         f.word("status", STATUS), f.integer("since_ms", 0) * 1_000_000L, f.number("weight", 1));
--- a/src/main/java/pumicekeel/node/LoopLag.java
+++ b/src/main/java/pumicekeel/node/LoopLag.java
@@ -37,6 +37,11 @@
 
   /** How long what is read now has waited in its socket, on average; only for the loop's own thread. */
   long waitNanos() {
-    return Math.max(late, System.nanoTime() - due) / WAIT_PART;
+    return lateNanos() / WAIT_PART;
+  }
+
+  /** How late the loop's timer is, or last was. */
+  long lateNanos() {
+    return Math.max(late, System.nanoTime() - due);
   }
 }
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -25,6 +25,8 @@
   private static final long END_MILLIS = 500;
   private static final long LAST_MILLIS = 1_000;
   private static final long POLL_MILLIS = 10;
+  /** Often enough to tell a bad stretch from a good one, and 20,000 lines a day at most. */
+  private static final long REPORT_MILLIS = 5_000;
 
   private final EventLoop loop =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
@@ -91,6 +93,7 @@
       core.start(configuration.known(), discovery::watch);
       WarmUp.run(loop, lag, address, warmUpPath, configuration.settings(), () -> {
         clients.setReady();
+        loop.scheduleAtFixedRate(core::report, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
         Log.line(configuration.name() + " serves at " + address);
         ready.countDown();
       });
--- a/src/main/java/pumicekeel/node/UpstreamAttempt.java
+++ b/src/main/java/pumicekeel/node/UpstreamAttempt.java
@@ -119,6 +119,11 @@
     return sentAt;
   }
 
+  /** From the decision to the first byte; 0 of one that was not sent. */
+  long unsentNanos() {
+    return sent ? sentAt - decidedAt : 0;
+  }
+
   /**
    * From the first byte's writing to the time given, when the answer came; of one that was not sent, from the decision.
    * What passes before the writing is a connect, which a slow loop makes long, and no upstream's work.
