Watch discovery also where the settings call the list pushed

Evidence: with discovery in the log there was not one line of it from start to end; the balancer that was restarted at 15 s was well only because its configuration held a newer list. In the bad stretch a node counted 325 attempts turned away and 2116 connects refused of 3790; in the good one none of 1516.

Ruled out: the margin before the grace's end in BalancerCore.maySend, which worked for the drains that the table knew of; a watch lost at SIGHUP, since none was on before it either.

On sockets only one who watches is told, and sockets are the node's: it now starts the watch.

--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -91,6 +91,8 @@
     InetSocketAddress address = clients.listen(configuration.listen());
     loop.execute(() -> {
       core.start(configuration.known(), discovery::watch);
+      // Whatever the settings say of how the list comes: on sockets only one who watches is told of it.
+      discovery.watch(true);
       WarmUp.run(loop, lag, address, warmUpPath, configuration.settings(), () -> {
         clients.setReady();
         loop.scheduleAtFixedRate(core::report, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
--- a/src/test/java/pumicekeel/node/DiscoveryTest.java
+++ b/src/test/java/pumicekeel/node/DiscoveryTest.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The watch, against a discovery that splits, falls silent, fails and changes its mind. */
 class DiscoveryTest {
@@ -149,6 +151,16 @@
     }
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"pushed", "on_request"})
+  void nodeFollowsTheListHoweverTheSettingsSayThatItComes(String mode) throws Exception {
+    try (FakeServer server = new FakeServer((request, connection, out) -> FakeServer.write(out, HEAD))) {
+      new TestNode(TestNode.json(server.address(), 1).replace("on_request", mode));
+      TestNode.until(() -> server.requests.size() == 1);
+      assertTrue(server.requests.get(0).startsWith("GET /discovery/hosts?watch=1&after=7 "), server.requests.get(0));
+    }
+  }
+
   @Test
   void upstreamAbsentFromAWholeListGetsNothingMore() throws Exception {
     try (FakeServer kept = FakeServer.serving("kept"); FakeServer gone = FakeServer.serving("gone");
