Take the margin of an answer from a client's wait, an eighth of it at most

Symptom: from 5 s to 17 s 44 and then 58 % of requests are refused while those served take 25 ms, as quick as ever, with hardly anything out (2 open), and then it ends by itself.

Evidence: the counters show 1134 of 1999 refused at once in a bad 5 s and none in a good one, at a mean latency of 26 against 32 ms. A look inside the module showed that the line refused nothing: each was over at its arrival, 0 to 15 ms before its deadline. By X-Time-Left-Ms the good stretch holds waits of 450 and 390 ms only; in the bad one 60 to 70 % wait for 40 to 80 ms, and 0 to 30 ms when they ask again.

Ruled out: the admission line and its windows, room at the upstreams (nothing was held), the list (its versions did not change), a slow loop (lag 2 ms).

At fault: BalancerCore.take cut 60 ms off every wait, whatever it was, so these requests had no time at all. The margin is now an eighth of the wait, 60 ms at most: as before for usual clients, and 5 to 10 ms for these.

Still open: those refused at once at arrival.

--- a/src/main/java/pumicekeel/node/BalancerCore.java
+++ b/src/main/java/pumicekeel/node/BalancerCore.java
@@ -30,8 +30,12 @@
 /** The table of open requests: tells the module what happens on the sockets and carries out what it decides. */
 final class BalancerCore {
 
-  /** An answer goes out this long before the client stops waiting, so that a busy core still is in time. */
-  static final long ANSWER_MARGIN_NANOS = 60_000_000L;
+  /**
+   * An answer goes out this long before the client stops waiting, so that a busy core still is in time; but no more
+   * than this part of its wait, or one that waits for less than the margin would never be tried.
+   */
+  private static final long ANSWER_MARGIN_NANOS = 60_000_000L;
+  private static final double ANSWER_MARGIN_PART = 0.125;
   /** The node's own answer where the module gave none in time, after the module's deadline. */
   private static final long GUARD_NANOS = 20_000_000L;
   /** Stay clear of the grace's end: a send counts at its first byte. */
@@ -84,7 +88,7 @@
   /** Takes a request; false where its id is open already, which must not replace the first one. */
   boolean take(ClientRequest request, Client client) {
     long now = clock.now();
-    long left = Math.max(0, Math.min(request.leftNanos() - ANSWER_MARGIN_NANOS, endsAt - now));
+    long left = Math.max(0, Math.min(request.leftNanos() - answerMargin(request.leftNanos()), endsAt - now));
     OpenRequest r = new OpenRequest(request, client, now + left);
     if (table.putIfAbsent(request.id(), r) != null) {
       return false;
@@ -96,6 +100,11 @@
     return true;
   }
 
+  /** How long before its time is up a request that comes with so much time left is to be answered. */
+  static long answerMargin(long leftNanos) {
+    return Math.min(ANSWER_MARGIN_NANOS, (long) (leftNanos * ANSWER_MARGIN_PART));
+  }
+
   /** The process ends after so long: no request that is open or taken from now on may last longer. */
   void endBy(long nanos) {
     endsAt = clock.now() + nanos;
--- a/src/test/java/pumicekeel/node/BalancerCoreTest.java
+++ b/src/test/java/pumicekeel/node/BalancerCoreTest.java
@@ -131,6 +131,15 @@
     take("1", "order", 200);
   }
 
+  /** Guards clients in a hurry: they wait for less than the margin that others have to spare. */
+  @Test
+  void marginBeforeTheClientsTimeIsUpLeavesMostOfAShortWait() {
+    assertEquals(60_000_000L, BalancerCore.answerMargin(1_000_000_000L));
+    for (long left = 10_000_000L; left <= 120_000_000L; left += 10_000_000L) {
+      assertTrue(BalancerCore.answerMargin(left) <= left / 4, "of " + left + " ns");
+    }
+  }
+
   @Test
   void answerForTheModulePromisesNothingOnceTheRequestMayHaveRun() throws Exception {
     try (FakeServer upstream = new FakeServer((request, connection, out) -> {})) {
