End the warm-up by its count of requests, not after 1.2 s

With 255 and 197 of 300 done the first stretch had 97.8 % in time; with 134 67 %, with 78 to 83 75 to 85 %, at 13 to 17 ms from decision to first byte and a loop lag of 160 to 240 ms, which were 0.0 and 1 to 3 ms once warm. The platform's half core was used up in those seconds.

At fault: WarmUp.LONGEST_NANOS ended the warm-up by time, so the slower the core, the colder the code that met the first clients. Slow progress does not end it any more; the bound is there for a balancer that cannot reach itself.

--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -93,7 +93,8 @@
       core.start(configuration.known(), discovery::watch);
       // Whatever the settings say of how the list comes: on sockets only one who watches is told of it.
       discovery.watch(true);
-      WarmUp.run(loop, lag, address, warmUpPath, configuration.settings(), () -> {
+      WarmUp.run(loop, lag, address, warmUpPath, configuration.settings(), requests -> {
+        Log.line("warmed up with " + requests + " requests");
         clients.setReady();
         loop.scheduleAtFixedRate(core::report, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
         Log.line(configuration.name() + " serves at " + address);
--- a/src/main/java/pumicekeel/node/WarmUp.java
+++ b/src/main/java/pumicekeel/node/WarmUp.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 import pumicekeel.AdaptiveBalancer;
 import pumicekeel.Balancer.DedupScope;
 import pumicekeel.Balancer.Effect;
@@ -24,12 +25,15 @@
  */
 final class WarmUp {
 
-  private static final int REQUESTS = 300;
+  static final int REQUESTS = 300;
   private static final int AT_ONCE = 8;
   private static final int UPSTREAMS = 3;
   private static final int KEYS = 50;
-  /** A restarted balancer is missed while it warms up, and half a core is all that it may have. */
-  private static final long LONGEST_NANOS = 1_200_000_000L;
+  /**
+   * Only for a balancer that cannot reach itself: clients come after 30 s all the same. Slow progress is no reason to
+   * end: on half a core the code is compiled late, and a balancer that is up before that fails its first clients.
+   */
+  private static final long LONGEST_NANOS = 20_000_000_000L;
   private static final long SECOND = 1_000_000_000L;
 
   private final EventLoop loop;
@@ -38,13 +42,14 @@
   private final ConnectionPool pool;
   private final BalancerCore core;
   private final ClientSide side;
-  private final Runnable done;
+  private final IntConsumer done;
   private final long endAt = clock.now() + LONGEST_NANOS;
   private final List<EmbeddedChannel> clients = new ArrayList<>();
   private int sent;
 
-  /** Runs on the loop and calls {@code done} there, after so many requests or so long. */
-  static void run(EventLoop loop, LoopLag lag, InetSocketAddress self, String path, Settings settings, Runnable done) {
+  /** Runs on the loop and tells {@code done} there how many requests it made, after so many or so long. */
+  static void run(EventLoop loop, LoopLag lag, InetSocketAddress self, String path, Settings settings,
+      IntConsumer done) {
     new WarmUp(loop, lag, path, settings, done).start(self);
   }
 
@@ -53,7 +58,7 @@
     return "/" + UUID.randomUUID();
   }
 
-  private WarmUp(EventLoop loop, LoopLag lag, String path, Settings real, Runnable done) {
+  private WarmUp(EventLoop loop, LoopLag lag, String path, Settings real, IntConsumer done) {
     this.loop = loop;
     this.path = path;
     this.done = done;
@@ -85,8 +90,7 @@
     if (sent >= REQUESTS || clock.now() > endAt) {
       clients.forEach(EmbeddedChannel::close);
       pool.close();
-      Log.line("warmed up with " + sent + " requests");
-      done.run();
+      done.accept(sent);
       return;
     }
     for (EmbeddedChannel client : clients) {
--- /dev/null
+++ b/src/test/java/pumicekeel/node/WarmUpTest.java
@@ -0,0 +1,62 @@
+package pumicekeel.node;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import pumicekeel.AdaptiveBalancer;
+import pumicekeel.adapter.Decoder;
+import pumicekeel.adapter.Fields;
+
+/** The requests that a balancer makes up for itself before it says that it is up. */
+class WarmUpTest {
+
+  private static final long STALL_NANOS = 15_000_000L;
+
+  private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+  private volatile boolean warm;
+
+  @AfterEach
+  void stop() {
+    loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+  }
+
+  /** As on a core of which others have most. */
+  private void stall() {
+    for (long end = System.nanoTime() + STALL_NANOS; System.nanoTime() < end;) {
+      LockSupport.parkNanos(end - System.nanoTime());
+    }
+    if (!warm) {
+      loop.schedule(this::stall, 1, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  @Test
+  void slowCoreDoesNotCutTheWarmUpShort() throws Exception {
+    Fields f = Fields.parse("configuration", TestNode.json(TestNode.nowhere(), 1));
+    var settings = Decoder.settings(f.nested("settings"));
+    LoopLag lag = new LoopLag(loop);
+    ConnectionPool pool = new ConnectionPool(loop, 1_000_000_000L, 60_000_000_000L, 10);
+    BalancerCore core = new BalancerCore(settings, new AdaptiveBalancer(settings, 1), new Clock(), loop, lag, pool,
+        defect -> {});
+    String path = WarmUp.newPath();
+    InetSocketAddress address = new ClientSide(loop, settings, core, 100, path)
+        .listen(new InetSocketAddress("127.0.0.1", 0));
+    BlockingQueue<Integer> made = new LinkedBlockingQueue<>();
+    loop.execute(this::stall);
+    loop.execute(() -> WarmUp.run(loop, lag, address, path, settings, requests -> {
+      warm = true;
+      made.add(requests);
+    }));
+    int requests = made.poll(60, TimeUnit.SECONDS);
+    assertTrue(requests >= WarmUp.REQUESTS, "made " + requests);
+  }
+}
