--- a/src/main/java/pumicekeel/node/BalancerCore.java
+++ b/src/main/java/pumicekeel/node/BalancerCore.java
@@ -273,7 +273,7 @@
     }
     over.add(r);
     long latency = attempt.latencyNanos(clock.now() - lag.waitNanos());
-    counters.ended(status, attempt.stale(), attempt.unsentNanos(), latency);
+    counters.ended(attempt.address(), status, attempt.stale(), attempt.unsentNanos(), latency);
     counters.lag(lag.lateNanos());
     tell(new Outcome(r.request.id(), attempt.number, attempt.upstream, status, latency, r.ended, Map.of(),
         attempt.stale()));
--- a/src/main/java/pumicekeel/node/Counters.java
+++ b/src/main/java/pumicekeel/node/Counters.java
@@ -1,6 +1,10 @@
 package pumicekeel.node;
 
+import java.net.InetSocketAddress;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.Locale;
+import java.util.Map;
 import java.util.StringJoiner;
 import pumicekeel.Balancer.Status;
 
@@ -8,7 +12,16 @@
 final class Counters {
 
   private static final double MILLI = 1e6;
+  /** Upstreams named in a report: those with most attempts that were not served, if that many were not. */
+  private static final int WORST = 3;
+  private static final int WORST_LEAST = 3;
 
+  private static final class Upstream {
+    private int attempts;
+    private int unserved;
+  }
+
+  private final Map<InetSocketAddress, Upstream> upstreams = new HashMap<>();
   private final int[] outcomes = new int[Status.values().length];
   private int taken;
   private int refusedAtOnce;
@@ -40,7 +53,10 @@
   }
 
   /** An attempt ended; {@code unsent} passed from the decision to its first byte, {@code latency} from there on. */
-  void ended(Status status, boolean foundStale, long unsent, long latency) {
+  void ended(InetSocketAddress address, Status status, boolean foundStale, long unsent, long latency) {
+    Upstream upstream = upstreams.computeIfAbsent(address, a -> new Upstream());
+    upstream.attempts++;
+    upstream.unserved += status == Status.SERVED ? 0 : 1;
     outcomes[status.ordinal()]++;
     stale += foundStale ? 1 : 0;
     unsentNanos += unsent;
@@ -62,9 +78,11 @@
     }
     String line = taken + attempts == 0 ? null : String.format(Locale.ROOT,
         "taken %d, refused at once %d, refused later %d, failed %d, left %d; attempts: %s, stale %d; "
-            + "mean ms: to first byte %.1f, from there %.1f; worst loop lag ms %.0f",
+            + "mean ms: to first byte %.1f, from there %.1f; worst loop lag ms %.0f%s",
         taken, refusedAtOnce, refusedLater, failed, left, byStatus, stale,
-        unsentNanos / MILLI / Math.max(1, attempts), latencyNanos / MILLI / Math.max(1, attempts), lagNanos / MILLI);
+        unsentNanos / MILLI / Math.max(1, attempts), latencyNanos / MILLI / Math.max(1, attempts), lagNanos / MILLI,
+        worst());
+    upstreams.clear();
     taken = 0;
     refusedAtOnce = 0;
     refusedLater = 0;
@@ -76,4 +94,12 @@
     lagNanos = 0;
     return line;
   }
+
+  private String worst() {
+    StringJoiner text = new StringJoiner(", ", "; not served: ", "").setEmptyValue("");
+    upstreams.entrySet().stream().filter(e -> e.getValue().unserved >= WORST_LEAST)
+        .sorted(Comparator.comparingInt(e -> -e.getValue().unserved)).limit(WORST)
+        .forEach(e -> text.add(e.getValue().unserved + " of " + e.getValue().attempts + " at " + e.getKey()));
+    return text.toString();
+  }
 }
--- a/src/main/java/pumicekeel/node/UpstreamAttempt.java
+++ b/src/main/java/pumicekeel/node/UpstreamAttempt.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import pumicekeel.Balancer.Status;
@@ -101,6 +102,10 @@
     return message;
   }
 
+  InetSocketAddress address() {
+    return pool.address();
+  }
+
   boolean out() {
     return status == null;
   }
