Eject an upstream that turns all away, as one that fails

Evidence: at one node 784 of 2157 attempts in 5 s were turned away and answered at once, with a loop lag of 1 ms and few time-outs. The retries they earn (a fifth of the requests) ran out, and 852 requests were refused later.

At fault: AdaptiveBalancer.learn left FULL out of the failures that eject. An upstream that turns away at once holds nothing, so bounded load finds it the emptiest of all and sends it a share far above its own. It is ejected now like one that refuses connections, under the same panic threshold; the admission line still learns nothing from it, as the design says.

--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -535,13 +535,15 @@
       // No sign of the upstream: kept connections break in a row, and three would eject one that is well.
       // A crash breaks them too, but then the next connects are refused, which counts.
       sample(r, (double) (now - r.arrived - ours) / r.type.aimNanos());
-    } else if (o.status() != Status.CANCELLED && o.status() != Status.NOT_SENT && o.status() != Status.FULL) {
+    } else if (o.status() != Status.CANCELLED && o.status() != Status.NOT_SENT) {
+      // One that turns all away holds nothing, so bounded load would send it more than any other: it is ejected as
+      // one that fails, though its refusals tell the line nothing.
       if (o.status() == Status.RESET || o.status() == Status.ERROR) {
         // Its latency, but no less than the aim that it missed, and for an error than what is critical. More
         // would take connections that break, spoilt answers, or one upstream's errors for load.
         double least = o.status() == Status.RESET ? 1 : MAX_VALUE;
         sample(r, Math.max(least, (double) (now - r.arrived) / r.type.aimNanos()));
-      } else if (o.status() != Status.CONNECT_FAILED) {
+      } else if (o.status() == Status.TIMEOUT) {
         // A time-out is charged its class's limit.
         sample(r, (double) r.type.deadlineNanos() / r.type.aimNanos());
       }
--- a/src/test/java/pumicekeel/PlacementTest.java
+++ b/src/test/java/pumicekeel/PlacementTest.java
@@ -47,6 +47,24 @@
     });
   }
 
+  /** Guards against a magnet: what turns every request away at once is always the emptiest of all. */
+  @Test
+  void upstreamThatTurnsAllAwayIsLeftAlone() {
+    Driver d = new Driver(Driver.safe()).upstreams(5);
+    int turnedAway = 0;
+    for (int i = 0; i < 1_000; i++) {
+      d.request(d.nextId(), "c", "k" + i % 50);
+      for (Driver.Sent s : List.copyOf(d.outstanding)) {
+        if (s.upstream() == 102) {
+          turnedAway++;
+          d.end(s, Status.FULL, Driver.MS);
+        }
+      }
+      d.serveFor(5 * Driver.MS, Status.SERVED, 100 * Driver.MS);
+    }
+    assertTrue(turnedAway < 50, "turned away of a thousand: " + turnedAway);
+  }
+
   @Test
   void hotKeySpreadsUnderTheLoadBound() {
     Driver d = new Driver(Driver.safe()).upstreams(5);
