Let a window forget all it counted after a pause longer than it remembers

A balancer that is idle for a few seconds after an overload would keep that overload's mean and refuse by it ever after.

--- a/src/main/java/pumicekeel/Window.java
+++ b/src/main/java/pumicekeel/Window.java
@@ -1,5 +1,7 @@
 package pumicekeel;
 
+import java.util.Arrays;
+
 /** Counts and sums over the last window, and further back where it holds too few samples. */
 final class Window {
 
@@ -41,7 +43,13 @@
   /** The total of the last window. */
   double total(long now, Metric metric) {
     long current = now / slotNanos;
-    for (long s = Math.max(slot + 1, current - kept + 1); s <= current; s++) {
+    if (empty(now)) {
+      // Slot by slot, what it counted last would be cleared before it was taken off the totals, and stay in them.
+      Arrays.fill(totals, 0);
+      Arrays.stream(slots).forEach(of -> Arrays.fill(of, 0));
+      slot = current;
+    }
+    for (long s = slot + 1; s <= current; s++) {
       for (int m = 0; m < totals.length; m++) {
         totals[m] -= s >= SLOTS ? slots[m][(int) ((s - SLOTS) % kept)] : 0;
         slots[m][(int) (s % kept)] = 0;
--- a/src/test/java/pumicekeel/AdmissionTest.java
+++ b/src/test/java/pumicekeel/AdmissionTest.java
@@ -47,6 +47,20 @@
     assertEquals(0, w.mean(90_000, 1), 1e-9);
   }
 
+  /** Guards a quiet night after an overload: a mean that never goes again would refuse for ever. */
+  @Test
+  void windowThatRemembersSeveralLengthsForgetsOverALongerPause() {
+    for (long pause = 1200; pause <= 20_000; pause += 100) {
+      Window w = new Window(1200, 5, 0);
+      for (long at = 10_000; at < 11_200; at += 100) {
+        w.add(at, Metric.SAMPLES, 1);
+        w.add(at, Metric.SUM, 3);
+      }
+      assertEquals(0, w.total(11_100 + pause, Metric.SAMPLES), 1e-9, "after " + pause);
+      assertEquals(0, w.total(11_100 + pause, Metric.SUM), 1e-9, "after " + pause);
+    }
+  }
+
   /** Serves at a rate with a fixed number out, each answer after the latency; the share refused. */
   private static double refusedShare(Driver d, int requests, int out, long latency, Status status) {
     return refusedShare(d, null, requests, out, latency, status);
