--- a/src/main/java/pumicekeel/node/Discovery.java
+++ b/src/main/java/pumicekeel/node/Discovery.java
@@ -33,8 +33,11 @@
  */
 final class Discovery {
 
-  /** A heartbeat comes every 2 s; three that stay out mean a connection that nobody serves any more. */
-  static final long SILENCE_MILLIS = 7_000;
+  /**
+   * A heartbeat comes every 2 s; two that stay out mean a connection that nobody serves any more. What there is to tell
+   * counts as told 6 s later: by then another watch has to be on, which a failure may put off by half a second.
+   */
+  static final long SILENCE_MILLIS = 4_500;
   private static final int CONNECT_MILLIS = 2_000;
   /** Far above any list; a line without an end must not fill the memory. */
   private static final int MAX_LINE = 4 << 20;
--- a/src/test/java/pumicekeel/node/DiscoveryTest.java
+++ b/src/test/java/pumicekeel/node/DiscoveryTest.java
@@ -78,6 +78,16 @@
     }
   }
 
+  /** Guards the drain rule: what there is to tell counts as told after 6 s, whether it arrived or not. */
+  @Test
+  void silenceIsNoticedAfterTwoHeartbeatsAndInTimeToAskAgain() {
+    long heartbeat = 2_000;
+    long told = 6_000;
+    long firstBackOff = 500;
+    assertTrue(Discovery.SILENCE_MILLIS > 2 * heartbeat);
+    assertTrue(Discovery.SILENCE_MILLIS + firstBackOff < told);
+  }
+
   @Test
   void refusalAndMalformedListAreFailures() throws Exception {
     try (FakeServer server = new FakeServer((request, connection, out) ->
