--- a/src/main/java/pumicekeel/node/Counters.java
+++ b/src/main/java/pumicekeel/node/Counters.java
@@ -8,7 +8,7 @@
 import java.util.StringJoiner;
 import pumicekeel.Balancer.Status;
 
-/** What a balancer did since its last report: a line of the log now and then, to set a good stretch beside a bad one. */
+/** What a balancer did since its last report: a line of the log, to set a good stretch beside a bad one. */
 final class Counters {
 
   private static final double MILLI = 1e6;
@@ -30,7 +30,8 @@
   private int left;
   private int stale;
   private long unsentNanos;
-  private long latencyNanos;
+  private long servedNanos;
+  private long timeoutNanos;
   private long lagNanos;
 
   void taken() {
@@ -60,7 +61,8 @@
     outcomes[status.ordinal()]++;
     stale += foundStale ? 1 : 0;
     unsentNanos += unsent;
-    latencyNanos += latency;
+    servedNanos += status == Status.SERVED ? latency : 0;
+    timeoutNanos += status == Status.TIMEOUT ? latency : 0;
   }
 
   void lag(long nanos) {
@@ -70,6 +72,8 @@
   /** The line, after which all counts start again; null where nothing happened. */
   String report() {
     int attempts = 0;
+    int served = outcomes[Status.SERVED.ordinal()];
+    int timeouts = outcomes[Status.TIMEOUT.ordinal()];
     StringJoiner byStatus = new StringJoiner(" ");
     for (Status s : Status.values()) {
       attempts += outcomes[s.ordinal()];
@@ -78,9 +82,9 @@
     }
     String line = taken + attempts == 0 ? null : String.format(Locale.ROOT,
         "taken %d, refused at once %d, refused later %d, failed %d, left %d; attempts: %s, stale %d; "
-            + "mean ms: to first byte %.1f, from there %.1f; worst loop lag ms %.0f%s",
+            + "mean ms: to first byte %.1f, served from there %.1f, timed out %.1f; worst loop lag ms %.0f%s",
         taken, refusedAtOnce, refusedLater, failed, left, byStatus, stale,
-        unsentNanos / MILLI / Math.max(1, attempts), latencyNanos / MILLI / Math.max(1, attempts), lagNanos / MILLI,
+        mean(unsentNanos, attempts), mean(servedNanos, served), mean(timeoutNanos, timeouts), lagNanos / MILLI,
         worst());
     upstreams.clear();
     taken = 0;
@@ -90,11 +94,16 @@
     left = 0;
     stale = 0;
     unsentNanos = 0;
-    latencyNanos = 0;
+    servedNanos = 0;
+    timeoutNanos = 0;
     lagNanos = 0;
     return line;
   }
 
+  private static double mean(long nanos, int count) {
+    return nanos / MILLI / Math.max(1, count);
+  }
+
   private String worst() {
     StringJoiner text = new StringJoiner(", ", "; not served: ", "").setEmptyValue("");
     upstreams.entrySet().stream().filter(e -> e.getValue().unserved >= WORST_LEAST)
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -128,6 +128,7 @@
   private void takeNoMore() {
     clients.closeUntaken();
     if (clients.open() == 0) {
+      core.report();
       Log.line(configuration.name() + " has drained");
       drained.countDown();
     } else {
