Charge a time-out as long as its client waited, not its class's limit

No upstream was in trouble for load. Each time-out counted as the class's limit, 3.3 aims, where clients give a try up after 40 to 55 % of that, or after 60 ms: a tenth of the attempts lost was enough to push the mean to the line's middle, and the fewer were admitted, the more the lost ones weighed.

At fault: AdaptiveBalancer.learn charged deadlineNanos/aimNanos. A time-out now adds its own limit, from arrival to its end, as the design says.

--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -544,8 +544,9 @@
         double least = o.status() == Status.RESET ? 1 : MAX_VALUE;
         sample(r, Math.max(least, (double) (now - r.arrived) / r.type.aimNanos()));
       } else if (o.status() == Status.TIMEOUT) {
-        // A time-out is charged its class's limit.
-        sample(r, (double) r.type.deadlineNanos() / r.type.aimNanos());
+        // A time-out adds its limit, the one that the client set: its class's is twice as long, and a tenth of the
+        // attempts lost to what no refusal can mend would be taken for an overload of all.
+        sample(r, (double) (now - r.arrived) / r.type.aimNanos());
       }
       if (++u.failures >= EJECT_AFTER && u.ejectedUntil <= now) {
         long backoff = Math.min(EJECT_MOST, EJECT_FIRST << Math.min(u.ejections++, 10));
--- a/src/test/java/pumicekeel/AdmissionTest.java
+++ b/src/test/java/pumicekeel/AdmissionTest.java
@@ -183,6 +183,24 @@
     assertTrue(refused > 0.3, "refused " + refused);
   }
 
+  /** Guards against time-outs that no refusal mends: each counts as long as its client waited, not its class's. */
+  @Test
+  void timeOutCountsAsLongAsItsClientWaited() {
+    Driver d = new Driver(Driver.safe()).upstreams(5);
+    for (int i = 0; i < 1_000; i++) {
+      String id = i % 10 == 5 ? "lost" + i : d.nextId();
+      d.step(new Balancer.Request(id, "c", null, "k" + i % 49, d.now + 450 * Driver.MS, 0, false));
+      d.pass(10 * Driver.MS);
+      for (Driver.Sent s : List.copyOf(d.outstanding)) {
+        boolean lost = s.id().startsWith("lost");
+        if (d.now - s.at() >= (lost ? 420 : 40) * Driver.MS) {
+          d.end(s, lost ? Status.TIMEOUT : Status.SERVED, d.now - s.at());
+        }
+      }
+    }
+    assertEquals(0, d.refusals.getOrDefault("r", 0), "of those that take a tenth of the aim; a tenth of all is lost");
+  }
+
   /** Guards sparse views: with a request or two a window the first of each was always admitted. */
   @Test
   void theLineRefusesWhereEveryWindowHoldsHardlyARequest() {
