--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -536,16 +536,16 @@
       // A crash breaks them too, but then the next connects are refused, which counts.
       sample(r, (double) (now - r.arrived - ours) / r.type.aimNanos());
     } else if (o.status() != Status.CANCELLED && o.status() != Status.NOT_SENT) {
-      // One that turns all away holds nothing, so bounded load would send it more than any other: it is ejected as
-      // one that fails, though its refusals tell the line nothing.
+      // One that turns all away holds nothing, so bounded load would send it more than any other: it is
+      // ejected as one that fails, though its refusals tell the line nothing.
       if (o.status() == Status.RESET || o.status() == Status.ERROR) {
         // Its latency, but no less than the aim that it missed, and for an error than what is critical. More
         // would take connections that break, spoilt answers, or one upstream's errors for load.
         double least = o.status() == Status.RESET ? 1 : MAX_VALUE;
         sample(r, Math.max(least, (double) (now - r.arrived) / r.type.aimNanos()));
       } else if (o.status() == Status.TIMEOUT) {
-        // A time-out adds its limit, the one that the client set: its class's is twice as long, and a tenth of the
-        // attempts lost to what no refusal can mend would be taken for an overload of all.
+        // A time-out adds its limit, the one that the client set: its class's is twice as long, and a tenth
+        // of the attempts lost to what no refusal can mend would be taken for an overload of all.
         sample(r, (double) (now - r.arrived) / r.type.aimNanos());
       }
       if (++u.failures >= EJECT_AFTER && u.ejectedUntil <= now) {
