--- a/src/main/java/pumicekeel/node/Reload.java
+++ b/src/main/java/pumicekeel/node/Reload.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Executors;
 import java.util.function.Consumer;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** SIGHUP: reads the configuration again. Without it Java's answer to that signal is to end, as at SIGTERM. */
 final class Reload {
@@ -23,7 +24,11 @@
       thread.setDaemon(true);
       return thread;
     });
-    Signal.handle(new Signal("HUP"), signal -> reader.execute(() -> read(environment, next)));
+    SignalHandler before = Signal.handle(new Signal("HUP"), signal -> reader.execute(() -> read(environment, next)));
+    if (before.equals(SignalHandler.SIG_IGN)) {
+      // Java leaves a signal alone that its parent ignored, as nohup does: then no reload would ever come.
+      Log.line("reload: started with SIGHUP ignored, so the configuration is not read again");
+    }
   }
 
   private static void read(Map<String, String> environment, Consumer<Configuration> next) {
--- a/src/test/java/pumicekeel/node/ProcessTest.java
+++ b/src/test/java/pumicekeel/node/ProcessTest.java
@@ -134,6 +134,23 @@
     }
   }
 
+  /** Guards against reloads that never come and nobody misses until drains are broken. */
+  @Test
+  void startWithSighupIgnoredSaysThatNoReloadWillCome() throws Exception {
+    Path file = Files.writeString(folder.resolve("config.json"), TestNode.json(TestNode.nowhere(), 1));
+    ProcessBuilder builder = new ProcessBuilder("sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"",
+        Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-cp",
+        System.getProperty("java.class.path"), "pumicekeel.adapter.Main", "serve");
+    builder.environment().put("PROXY_CONFIG", file.toString());
+    process = builder.redirectErrorStream(true).start();
+    log = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+    boolean said = false;
+    for (String line = log.readLine(); line != null && !line.contains(" serves at /"); line = log.readLine()) {
+      said |= line.startsWith("reload: started with SIGHUP ignored");
+    }
+    assertTrue(said, "before it serves");
+  }
+
   @Test
   void badConfigurationIsOnePlainLineAndStatusTwo() throws Exception {
     String good = TestNode.json(TestNode.nowhere(), 1);
