Log what the line refuses on, and answers of near, away and cold upstreams apart

A hundred balancers refuse for seconds while their means look healthy, and the log could not tell on which figures, nor whether the answers were those of their own zone or of cold upstreams. Both are a line of the log now, one a bad stretch and part of the report every 5 s. No decision changes.

--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -7,6 +7,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
@@ -134,6 +135,8 @@
   private long sweepAt = Long.MAX_VALUE;
   private long sweptAt;
   private boolean panic;
+  /** When the line first refused since its mean was healthy; 0 while it is. */
+  private long refusedSince;
   private int askFailures;
   private long askAt = Long.MAX_VALUE;
   private long now;
@@ -258,11 +261,20 @@
     double allowed = allowedRate(mean, MIN_VALUE * early, MAX_VALUE * early, maxRate, maxRate * MIN_PART);
     // Guards work inside a quota from what this balancer did not cause: no more is out than while healthy.
     boolean idle = quotaTokens.containsKey(r.request.tenant()) && readyLoad < usualInFlight * ready;
-    if (own.reach(now, Metric.ADMITTED, ENOUGH) >= allowed && (r.excess || !idle)) {
-      return false;
+    double admitted = own.reach(now, Metric.ADMITTED, ENOUGH);
+    boolean refused = admitted >= allowed && (r.excess || !idle);
+    if (refused && refusedSince == 0) {
+      out.accept(new Log(String.format(Locale.ROOT,
+          "the line refuses: mean %.2f aims, own of %.0f samples; %.0f admitted, %.1f allowed, %.0f offered",
+          mean, own.reach(now, Metric.SAMPLES, ENOUGH), admitted, allowed,
+          own.reach(now, Metric.OFFERED, ENOUGH))));
+      refusedSince = now;
+    } else if (!refused && refusedSince != 0 && mean <= MIN_VALUE * early) {
+      out.accept(new Log("the line admits all again after " + (now - refusedSince) / MS + " ms"));
+      refusedSince = 0;
     }
-    count(r, Metric.ADMITTED, 1);
-    return true;
+    count(r, Metric.ADMITTED, refused ? 0 : 1);
+    return !refused;
   }
 
   private void count(PendingRequest r, Metric metric, double amount) {
--- a/src/main/java/pumicekeel/node/BalancerCore.java
+++ b/src/main/java/pumicekeel/node/BalancerCore.java
@@ -17,6 +17,7 @@
 import pumicekeel.Balancer.Fail;
 import pumicekeel.Balancer.ListKind;
 import pumicekeel.Balancer.ListNews;
+import pumicekeel.Balancer.Listed;
 import pumicekeel.Balancer.Outcome;
 import pumicekeel.Balancer.Refuse;
 import pumicekeel.Balancer.Request;
@@ -243,7 +244,7 @@
     UpstreamAttempt attempt = new UpstreamAttempt(r.attempts.size(), a.upstream(), clock.now(), upstream.pool(),
         (ended, status, answer) -> {
           upstreams.ended(upstream);
-          ended(r, ended, status, answer);
+          ended(r, upstream, ended, status, answer);
         });
     upstreams.started(upstream);
     // Checked where the attempt's first byte goes out, which may be a connect later than the decision.
@@ -267,15 +268,23 @@
     }
   }
 
-  private void ended(OpenRequest r, UpstreamAttempt attempt, Status status, Answer answer) {
+  private void ended(OpenRequest r, UpstreamTable.Entry upstream, UpstreamAttempt attempt, Status status,
+      Answer answer) {
     if (status == Status.SERVED && end(r)) {
       r.client.served(answer);
     }
     over.add(r);
     long latency = attempt.latencyNanos(clock.now() - lag.waitNanos());
-    counters.ended(attempt.address(), status, attempt.stale(), attempt.unsentNanos(), latency);
+    counters.ended(attempt.address(), kindOf(upstream.listed()), status, attempt.stale(), attempt.unsentNanos(),
+        latency);
     counters.lag(lag.lateNanos());
     tell(new Outcome(r.request.id(), attempt.number, attempt.upstream, status, latency, r.ended, Map.of(),
         attempt.stale()));
   }
+
+  private Counters.Kind kindOf(Listed upstream) {
+    boolean cold = clock.now() - upstream.startedNanos() < settings.contract().warmWithinNanos();
+    return cold ? Counters.Kind.COLD
+        : upstream.zone().equals(settings.zone()) ? Counters.Kind.NEAR : Counters.Kind.AWAY;
+  }
 }
--- a/src/main/java/pumicekeel/node/Counters.java
+++ b/src/main/java/pumicekeel/node/Counters.java
@@ -1,6 +1,7 @@
 package pumicekeel.node;
 
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Locale;
@@ -16,6 +17,9 @@
   private static final int WORST = 3;
   private static final int WORST_LEAST = 3;
 
+  /** Upstreams as far as their latencies differ: of the balancer's zone, of another one, just started in either. */
+  enum Kind { NEAR, AWAY, COLD }
+
   private static final class Upstream {
     private int attempts;
     private int unserved;
@@ -30,7 +34,8 @@
   private int left;
   private int stale;
   private long unsentNanos;
-  private long servedNanos;
+  private final int[] served = new int[Kind.values().length];
+  private final long[] servedNanos = new long[Kind.values().length];
   private long timeoutNanos;
   private long lagNanos;
 
@@ -54,14 +59,15 @@
   }
 
   /** An attempt ended; {@code unsent} passed from the decision to its first byte, {@code latency} from there on. */
-  void ended(InetSocketAddress address, Status status, boolean foundStale, long unsent, long latency) {
+  void ended(InetSocketAddress address, Kind kind, Status status, boolean foundStale, long unsent, long latency) {
     Upstream upstream = upstreams.computeIfAbsent(address, a -> new Upstream());
     upstream.attempts++;
     upstream.unserved += status == Status.SERVED ? 0 : 1;
     outcomes[status.ordinal()]++;
     stale += foundStale ? 1 : 0;
     unsentNanos += unsent;
-    servedNanos += status == Status.SERVED ? latency : 0;
+    served[kind.ordinal()] += status == Status.SERVED ? 1 : 0;
+    servedNanos[kind.ordinal()] += status == Status.SERVED ? latency : 0;
     timeoutNanos += status == Status.TIMEOUT ? latency : 0;
   }
 
@@ -72,7 +78,6 @@
   /** The line, after which all counts start again; null where nothing happened. */
   String report() {
     int attempts = 0;
-    int served = outcomes[Status.SERVED.ordinal()];
     int timeouts = outcomes[Status.TIMEOUT.ordinal()];
     StringJoiner byStatus = new StringJoiner(" ");
     for (Status s : Status.values()) {
@@ -82,10 +87,9 @@
     }
     String line = taken + attempts == 0 ? null : String.format(Locale.ROOT,
         "taken %d, refused at once %d, refused later %d, failed %d, left %d; attempts: %s, stale %d; "
-            + "mean ms: to first byte %.1f, served from there %.1f, timed out %.1f; worst loop lag ms %.0f%s",
+            + "mean ms: to first byte %.1f, served%s, timed out %.1f; worst loop lag ms %.0f%s",
         taken, refusedAtOnce, refusedLater, failed, left, byStatus, stale,
-        mean(unsentNanos, attempts), mean(servedNanos, served), mean(timeoutNanos, timeouts), lagNanos / MILLI,
-        worst());
+        mean(unsentNanos, attempts), servedByKind(), mean(timeoutNanos, timeouts), lagNanos / MILLI, worst());
     upstreams.clear();
     taken = 0;
     refusedAtOnce = 0;
@@ -94,7 +98,8 @@
     left = 0;
     stale = 0;
     unsentNanos = 0;
-    servedNanos = 0;
+    Arrays.fill(served, 0);
+    Arrays.fill(servedNanos, 0);
     timeoutNanos = 0;
     lagNanos = 0;
     return line;
@@ -104,6 +109,16 @@
     return nanos / MILLI / Math.max(1, count);
   }
 
+  private String servedByKind() {
+    StringJoiner text = new StringJoiner(",");
+    for (Kind k : Kind.values()) {
+      int count = served[k.ordinal()];
+      text.add(String.format(Locale.ROOT, " %s %d %.1f", k.name().toLowerCase(Locale.ROOT), count,
+          mean(servedNanos[k.ordinal()], count)));
+    }
+    return text.toString();
+  }
+
   private String worst() {
     StringJoiner text = new StringJoiner(", ", "; not served: ", "").setEmptyValue("");
     upstreams.entrySet().stream().filter(e -> e.getValue().unserved >= WORST_LEAST)
--- a/src/main/java/pumicekeel/node/UpstreamTable.java
+++ b/src/main/java/pumicekeel/node/UpstreamTable.java
@@ -15,6 +15,7 @@
   static final class Entry {
     private final long id;
     private UpstreamPool pool;
+    private Listed listed;
     /** When it began to leave, or 0 while it is ready. */
     private long leavingSince;
     private boolean gone;
@@ -28,6 +29,10 @@
       return pool;
     }
 
+    Listed listed() {
+      return listed;
+    }
+
     /** How long it has been leaving, or 0. */
     long leavingFor(long now) {
       return leavingSince == 0 ? 0 : now - leavingSince;
@@ -71,6 +76,7 @@
       }
       e.pool = pools.of(host.address());
     }
+    e.listed = listed;
     if (listed.state() == State.READY) {
       e.leavingSince = 0;
       e.gone = false;
