Wait whole milliseconds for timers instead of spinning until they are due

With its rounds counted, in 60 nodes of 60 'SPIN n 3276 tasks 1 ...' and the like: hundreds to thousands of rounds in 20 ms without a task, the clock going on a little each time.

Cause: NIO waits in milliseconds and Netty rounds the time to the next timer to the nearest (NioIoHandler.millisBeforeDeadline). Woken up to half a millisecond early it calls selectNow over and over. LoopLag's timer of 10 ms keeps its phase, so a balancer is hit at every tick or at none. On half a core that eats its share, and everything waits. The loop now rounds up.

--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -1,7 +1,6 @@
 package pumicekeel.node;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.PrintStream;
@@ -28,8 +27,7 @@
   /** Often enough to tell a bad stretch from a good one, and 20,000 lines a day at most. */
   private static final long REPORT_MILLIS = 5_000;
 
-  private final EventLoop loop =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+  private final EventLoop loop = new RoundedEventLoop(NioIoHandler.newFactory());
   private final LoopLag lag = new LoopLag(loop);
   private final Configuration configuration;
   private final Runnable crash;
@@ -97,7 +95,7 @@
         Log.line("warmed up with " + requests + " requests");
         clients.setReady();
         loop.scheduleAtFixedRate(core::report, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
-        Log.line(configuration.name() + " serves at " + address);
+        Log.line(configuration.name() + " of zone " + configuration.settings().zone() + " serves at " + address);
         ready.countDown();
       });
     });
