Give a cold upstream its warmth's part of what its own zone's balancers send

So the warm ones are crowded and the cold ones, quicker, nearly unused.

Ruled out: a loop that is late (59 ms at most), and upstreams that turn away or fail (a dozen attempts of thousands).

Cause: coldTokens took for the usual sends what the balancer admits, divided by all ready upstreams. It sends to its own zone, so a warm near one gets four times that with four zones, while the balancers of other zones leave their part unused. Harmless where the sites are few and near is everywhere. The usual sends are now the zone's part of the balancer's traffic to a near upstream, and the fleet's part to any other, as bounded load counts them. All balancers together may send a cold one its warmth's part of 1.75 times the usual at the most, with four zones; it falls at four times its capacity.

--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -421,10 +421,12 @@
     return u.started <= 0 || part >= 1 ? 1 : settings.contract().coldFrom() * (1 - part) + part;
   }
 
-  /** Sends that a cold upstream may still get: its warmth's part of what a warm one usually gets. The trickle
-   * guards against a fleet that is cold all at once and would wait for traffic to be allowed any. */
+  /** Sends that a cold upstream may still get: its warmth's part of what a warm one usually gets, most of which
+   * comes from the balancers of its zone. The trickle guards against a fleet that is cold all at once and would
+   * wait for traffic to be allowed any. */
   private double coldTokens(Upstream u) {
-    double rate = Math.max(COLD_TRICKLE / settings.groupSize(), warmth(u) * usualSends);
+    double usual = usualSends * (near(u) ? nearPart : 1.0 / Math.max(1, ready));
+    double rate = Math.max(COLD_TRICKLE / settings.groupSize(), warmth(u) * usual);
     double seconds = COLD_BURST * settings.contract().fallWindowNanos() / SECOND;
     return u.cold.fill(now, rate, Math.max(1, rate * seconds));
   }
@@ -586,7 +588,7 @@
       usualInFlight += (readyLoad / Math.max(1, ready) - usualInFlight) * past / (USUAL_WINDOWS * window);
     }
     usualSends = Math.max(usualSends * (1 - past / SENDS_KEPT),
-        fleet.total(now, Metric.ADMITTED) * SECOND / window / Math.max(1, ready));
+        fleet.total(now, Metric.ADMITTED) * SECOND / window);
     long bad = upstreams.values().stream()
         .filter(u -> u.listed.state() == State.READY && (u.ejectedUntil > now || silent(u))).count();
     panic = bad > PANIC_SHARE * ready;
--- a/src/test/java/pumicekeel/PlacementTest.java
+++ b/src/test/java/pumicekeel/PlacementTest.java
@@ -105,6 +105,29 @@
     assertTrue(part > 0.1 && part < 0.3 + 0.7 * 3 / 8 + 0.1, "part of a warm one's sends: " + part);
   }
 
+  /** Guards warm upstreams of a zone: all its traffic is theirs, so a cold one's part of it is no fleet-wide mean. */
+  @Test
+  void coldUpstreamGetsItsWarmthsPartOfItsOwnZonesTraffic() {
+    Balancer.Settings base = Driver.safe();
+    Driver d = new Driver(new Balancer.Settings(0, 100, "a", base.classes(), base.tenants(), base.limits(),
+        base.contract(), new Balancer.Prices(0.05, 0, 0), false, base.weightKind(), 1, true, Driver.MS));
+    Listed[] listed = new Listed[16];
+    for (int i = 0; i < 16; i++) {
+      listed[i] = new Listed(i, "abcd".charAt(i % 4) + "", i, State.READY, 0, 1);
+    }
+    d.list(ListKind.CACHED, listed);
+    for (int i = 0; i < 400; i++) {
+      d.serve("k" + i, 20 * Driver.MS);
+    }
+    d.list(ListKind.DELTA, new Listed(0, "a", 0, State.READY, d.now, 1));
+    int cold = 0;
+    for (int i = 0; i < 150; i++) {
+      cold += d.serve("k" + i, 20 * Driver.MS) == 0 ? 1 : 0;
+    }
+    // A warm one gets a quarter of the 150; three seconds of eight it is at 0.3 to 0.56 of its capacity.
+    assertTrue(cold > 0.3 * 150 / 4 && cold < 0.7 * 150 / 4, "sends to the cold one: " + cold);
+  }
+
   /** Guards against sending on to an upstream that has frozen and has not yet timed anything out. */
   @Test
   void silentUpstreamIsPassedOverAndItsRequestCopied() {
