--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -421,9 +421,9 @@
     return u.started <= 0 || part >= 1 ? 1 : settings.contract().coldFrom() * (1 - part) + part;
   }
 
-  /** Sends that a cold upstream may still get: its warmth's part of what a warm one usually gets, most of which
-   * comes from the balancers of its zone. The trickle guards against a fleet that is cold all at once and would
-   * wait for traffic to be allowed any. */
+  /** Sends that a cold upstream may still get: its warmth's part of what a warm one usually gets, most of it
+   * from its zone. The trickle guards against a fleet that is cold all at once and would wait
+   * for traffic to be allowed any. */
   private double coldTokens(Upstream u) {
     double usual = usualSends * (near(u) ? nearPart : 1.0 / Math.max(1, ready));
     double rate = Math.max(COLD_TRICKLE / settings.groupSize(), warmth(u) * usual);
