Read the watch list by list, since one may come indented over several lines

Seen: the reader of the watch parsed each line by itself, so the first line "{" of an indented list failed with "discovery: watch failed: com.fasterxml.jackson.core.io.JsonEOFException: Unexpected end-of-input", and so did each watch that followed: such a discovery is never heard, and drains go unseen until all else fails. At fault: Discovery.WatchHandler.read, which cut the answer at '\n'.

Now Netty's JsonObjectDecoder cuts the body into whole objects (ListDecoder). A list that stops halfway no longer fails by its first line's end, so it counts as silence, though heartbeats go on behind it.

Tests: listsMayBeIndentedOverSeveralLines fails without the mend (twice, as above); listThatStopsHalfwayIsSilenceThoughHeartbeatsGoOn fails where every byte counts as life. One row of refusalAndMalformedListAreFailures was wrong, {"index":\n is the beginning of an indented list: five malformed texts take its place, and the list that never ends has the test of its own.

--- a/src/main/java/pumicekeel/node/Discovery.java
+++ b/src/main/java/pumicekeel/node/Discovery.java
@@ -11,7 +11,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -19,7 +18,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -39,13 +37,10 @@
    */
   static final long SILENCE_MILLIS = 4_500;
   private static final int CONNECT_MILLIS = 2_000;
-  /** Far above any list; a line without an end must not fill the memory. */
-  private static final int MAX_LINE = 4 << 20;
-
-  private final EventLoop loop;
   /** No version of the list is known, so all of it is asked for. */
   private static final long NO_INDEX = -1;
 
+  private final EventLoop loop;
   private final long silenceMillis;
   private final Consumer<HostList> news;
   private final Runnable failed;
@@ -100,13 +95,14 @@
   }
 
   private void connect() {
-    WatchHandler handler = new WatchHandler();
+    ListDecoder lists = new ListDecoder();
+    WatchHandler handler = new WatchHandler(lists);
     current = new Bootstrap().group(loop).channel(NioSocketChannel.class)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
         .handler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
-            channel.pipeline().addLast(new HttpClientCodec(), handler);
+            channel.pipeline().addLast(new HttpClientCodec(), lists, handler);
           }
         }).connect(address).addListener(connected -> {
           if (!connected.isSuccess()) {
@@ -116,12 +112,16 @@
     handler.channel = current;
   }
 
-  /** Reads one watch: lines may be split anywhere over the chunks. */
-  private final class WatchHandler extends SimpleChannelInboundHandler<HttpObject> {
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+  /** Follows one watch: gets each list once it is whole, and the parts of the answer for what they tell of its end. */
+  private final class WatchHandler extends SimpleChannelInboundHandler<Object> {
+    private final ListDecoder lists;
     private Channel channel;
     private ScheduledFuture<?> silence;
 
+    WatchHandler(ListDecoder lists) {
+      this.lists = lists;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
       Log.caused("discovery: watches " + address + (index == NO_INDEX ? "" : " from version " + index));
@@ -141,37 +141,30 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
-      heard();
-      if (message.decoderResult().isFailure()) {
+    protected void channelRead0(ChannelHandlerContext ctx, Object message) throws IOException {
+      if (message instanceof ByteBuf list) {
+        read(list.toString(StandardCharsets.UTF_8));
+        return;
+      }
+      if (!lists.begun()) {
+        // A list that stops halfway is silence too, whatever comes behind it.
+        heard();
+      }
+      if (((HttpObject) message).decoderResult().isFailure()) {
         end("malformed answer");
       } else if (message instanceof HttpResponse response && response.status().code() != 200) {
         end("answer " + response.status().code());
-      } else if (message instanceof HttpContent part) {
-        read(part.content());
-        if (message instanceof LastHttpContent) {
-          end("ended");
-        }
+      } else if (message instanceof LastHttpContent) {
+        end("ended");
       }
     }
 
-    private void read(ByteBuf part) throws IOException {
-      while (part.isReadable() && current == channel) {
-        int length = part.bytesBefore((byte) '\n');
-        part.readBytes(line, length < 0 ? part.readableBytes() : length);
-        if (line.size() > MAX_LINE) {
-          end("a line without an end");
-        } else if (length >= 0) {
-          part.skipBytes(1);
-          String text = line.toString(StandardCharsets.UTF_8);
-          line.reset();
-          if (!text.isBlank()) {
-            HostList list = HostList.of(Fields.parse("list", text));
-            index = list.index();
-            Log.caused("discovery: " + list);
-            news.accept(list);
-          }
-        }
+    private void read(String text) throws IOException {
+      if (current == channel) {
+        HostList list = HostList.of(Fields.parse("list", text));
+        index = list.index();
+        Log.caused("discovery: " + list);
+        news.accept(list);
       }
     }
 
