Give up an attempt by a reset, so that its rest never arrives

Seen: a request of 64 KiB to a machine that takes nothing for a while lies in the kernel's buffer, its client leaves, and the plain close of the connection still delivers it: 65,635 bytes arrived behind it, the whole request, to be run for nobody. After a cut link heals the same happens to what had been written into the cut. At fault: UpstreamAttempt.end closed the connection in order (UpstreamConnection.close), which ends the sending behind what is buffered and not ahead of it.

Attempts that are cancelled or time out are now given up with SO_LINGER 0. Idle connections still close in order. Test: restOfARequestThatIsGivenUpNeverArrives (fails without it: "bytes that arrived: 65635").

--- a/src/main/java/pumicekeel/node/UpstreamAttempt.java
+++ b/src/main/java/pumicekeel/node/UpstreamAttempt.java
@@ -152,7 +152,7 @@
     }
     if (how == Status.TIMEOUT || how == Status.CANCELLED) {
       if (connection != null) {
-        connection.close();
+        connection.abort();
       } else if (connecting != null) {
         connecting.channel().close();
       }
--- a/src/main/java/pumicekeel/node/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/node/UpstreamConnection.java
@@ -73,7 +73,15 @@
     written = channel.writeAndFlush(request);
   }
 
-  /** Gives up what is on this connection, with no outcome. */
+  /** Gives up what is on this connection so that nothing of it reaches the upstream later, which a mere end would. */
+  void abort() {
+    if (channel.isOpen()) {
+      channel.config().setSoLinger(0);
+    }
+    close();
+  }
+
+  /** Ends this connection; what is on it gets no outcome. */
   void close() {
     attempt = null;
     stopWaiting();
--- a/src/test/java/pumicekeel/node/BalancerCoreTest.java
+++ b/src/test/java/pumicekeel/node/BalancerCoreTest.java
@@ -7,6 +7,12 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -89,9 +95,13 @@
 
   /** Takes a request and does something else on the loop before anything more is read. */
   private void take(String id, String type, long leftMillis, Runnable then) throws Exception {
+    take(id, type, leftMillis, 0, then);
+  }
+
+  private void take(String id, String type, long leftMillis, int bodyBytes, Runnable then) throws Exception {
     var type1 = settings.classes().stream().filter(c -> c.name().equals(type)).findFirst().orElseThrow();
     ClientRequest request = new ClientRequest(id, type1, "acme", "k", leftMillis * 1_000_000, 0, false,
-        io.netty.handler.codec.http.HttpMethod.GET, "/" + type, "h", null, null, new byte[0]);
+        io.netty.handler.codec.http.HttpMethod.GET, "/" + type, "h", null, null, new byte[bodyBytes]);
     assertTrue(loop.submit(() -> {
       boolean taken = core.take(request, client);
       then.run();
@@ -222,6 +232,36 @@
     }
   }
 
+  /** A machine that takes nothing for a while must not run later what nobody waits for any more. */
+  @Test
+  void restOfARequestThatIsGivenUpNeverArrives() throws Exception {
+    try (ServerSocket upstream = new ServerSocket()) {
+      upstream.setReceiveBufferSize(4_096);
+      upstream.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      start((event, out) -> {
+        sendOnRequest(event, out);
+        if (event instanceof Balancer.ClientGone gone) {
+          out.accept(new Balancer.Cancel(gone.id(), 0));
+        }
+      });
+      Balancer.Listed listed = new Balancer.Listed(UPSTREAM, "a", 1, State.READY, 0, 1);
+      loop.submit(() -> core.news(new HostList(8, false, List.of(new HostList.Host(
+          (InetSocketAddress) upstream.getLocalSocketAddress(), listed))))).get();
+      take("1", "order", 15_000, Answer.MAX_BODY, () -> {});
+      try (Socket connection = upstream.accept()) {
+        InputStream in = connection.getInputStream();
+        int read = in.readNBytes(1).length;
+        loop.submit(() -> core.clientGone("1")).get();
+        try {
+          read += in.readAllBytes().length;
+        } catch (IOException e) {
+          // A reset: the rest is lost, as it has to be.
+        }
+        assertTrue(read < Answer.MAX_BODY, "bytes that arrived: " + read);
+      }
+    }
+  }
+
   @Test
   void exceptionOfTheModuleAnswersAllThatIsOpen() throws Exception {
     start((event, out) -> {
