Answer requests that have come in part, and new connections' first ones, while draining

A request counts as taken once its last byte is written, also if the balancer has read its head alone, and is lost if the connection is closed then. Half a second or more after SIGTERM ClientSide.closeUntaken closed every connection without a whole request: those on which half of one had been read, and those accepted just now whose first request was on its way. At fault: the filter ClientHandler::untaken in ClientSide.closeUntaken.

The connections between two requests still close at that time; the others are answered when their request is whole, with Connection: close, or told 408 or closed just before the process has to end (Node.drain, "end"), so that a slow sender does not keep it.

--- a/src/main/java/pumicekeel/node/ClientSide.java
+++ b/src/main/java/pumicekeel/node/ClientSide.java
@@ -139,9 +139,23 @@
     listener.close();
   }
 
-  /** Takes no more, also of what has come in part: a slow sender must not keep the process from its end. */
-  void closeUntaken() {
+  /**
+   * Each answer is its connection's last from now on, and those between two requests end now. A request that has come in
+   * part is owed its answer once it is whole; so is the first one of a new connection, which may be on its way.
+   */
+  void closeIdle() {
     closing = true;
-    List.copyOf(connections).stream().filter(ClientHandler::untaken).forEach(ClientHandler::close);
+    connections().stream().filter(c -> c.idle() && !c.neverAsked()).forEach(ClientHandler::close);
+  }
+
+  /** Waits no longer for what has not come whole: a slow sender must not keep the process from its end. */
+  void endUntaken() {
+    connections().stream().filter(ClientHandler::untaken).forEach(c -> {
+      if (c.idle()) {
+        c.close();
+      } else {
+        c.expire();
+      }
+    });
   }
 }
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -119,18 +119,19 @@
           .mapToLong(c -> TimeUnit.NANOSECONDS.toMillis(c.deadlineNanos())).max().orElse(0));
       core.endBy(TimeUnit.MILLISECONDS.toNanos(end));
       loop.schedule(clients::stopListening, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
-      loop.schedule(this::takeNoMore, Math.max(ACCEPT_MILLIS, end - LAST_MILLIS), TimeUnit.MILLISECONDS);
+      loop.schedule(this::endOnceIdle, Math.max(ACCEPT_MILLIS, end - LAST_MILLIS), TimeUnit.MILLISECONDS);
+      loop.schedule(clients::endUntaken, end, TimeUnit.MILLISECONDS);
     });
   }
 
-  private void takeNoMore() {
-    clients.closeUntaken();
+  private void endOnceIdle() {
+    clients.closeIdle();
     if (clients.open() == 0) {
       core.report();
       Log.line(configuration.name() + " has drained");
       drained.countDown();
     } else {
-      loop.schedule(this::takeNoMore, POLL_MILLIS, TimeUnit.MILLISECONDS);
+      loop.schedule(this::endOnceIdle, POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
   }
 
