Read a client's connection for as long as its request waits

Seen in tests over loopback: where noise came in one piece with a request, or a mistake ahead of it, reading stopped (ClientHandler.reject and pause set autoRead to false), so neither FIN nor RST was seen. The request went on to wait, to be retried, and ended by its time, 20 s later, instead of by its client's leaving. The same held behind more than 64 KiB that came after a request ("then reading stops"). At fault: six places in ClientHandler that set autoRead, none of which asked whether a request waits.

readOn alone decides now: a waiting request's connection is read. What comes behind it is dropped as before; after 64 KiB of that the peer floods, and gets 400 at once and its attempt is given up, instead of a connection on which nothing can be seen. Tests: ClientLeavesTest, each with FIN and RST. With autoRead stopped in reject four rows fail, without the first term of readOn the one behind a mistake, without the end of a flood the one of the flood.

--- a/src/main/java/pumicekeel/node/ClientHandler.java
+++ b/src/main/java/pumicekeel/node/ClientHandler.java
@@ -28,7 +28,7 @@
 
   /** A client that was told of its mistake is not read for so long: it may well ask the same again at full speed. */
   private static final long PENALTY_MILLIS = 500;
-  /** What is dropped behind a request that waits, to see its client leave; then reading stops: no flood is read. */
+  /** What is dropped behind a request that waits, to see its client leave; with more it is a flood, and is ended. */
   private static final int MOST_DROPPED = 64 << 10;
 
   private final ClientSide side;
@@ -39,6 +39,7 @@
   private String waiting;
   private boolean keepAlive;
   private boolean discarding;
+  private boolean paused;
   private long dropped;
   private final long openedAt = System.nanoTime();
   /** When the last request ended, and when the first byte came of the one that has come in part; 0 for never. */
@@ -106,13 +107,27 @@
       partSince = partSince == 0 ? System.nanoTime() : partSince;
       return true;
     }
+    drop(bytes.readableBytes());
+    return false;
+  }
+
+  private void drop(int bytes) {
     discarding = true;
     keepAlive = false;
-    dropped += bytes.readableBytes();
-    if (dropped > MOST_DROPPED) {
-      ctx.channel().config().setAutoRead(false);
+    dropped += bytes;
+    if (dropped > MOST_DROPPED && waiting != null) {
+      String id = waiting;
+      write(400, "more than a request".getBytes(StandardCharsets.UTF_8), "text/plain", 0);
+      side.clientGone(id);
     }
-    return false;
+  }
+
+  /**
+   * Reads while there is something to read for. A connection whose request waits is always read, or nothing would tell
+   * that its client has left.
+   */
+  private void readOn() {
+    ctx.channel().config().setAutoRead(waiting != null || !discarding && !paused && ctx.channel().isWritable());
   }
 
   /** Closes once all that was written has gone out: an answer must not be cut short. */
@@ -164,12 +179,6 @@
     }
   }
 
-  /** Reads no more from a client that breaks the protocol: what it sends must not fill the memory. */
-  private void discard() {
-    discarding = true;
-    ctx.channel().config().setAutoRead(false);
-  }
-
   private void whole() {
     HttpRequest request = head;
     head = null;
@@ -185,6 +194,7 @@
         waiting = null;
         throw new ClientRequest.Bad(409, "this id is open already");
       }
+      readOn();
     } catch (ClientRequest.Bad e) {
       // No body to an answer to HEAD: it would be taken for the next answer.
       String why = request.method().equals(HttpMethod.HEAD) ? "" : e.getMessage();
@@ -195,23 +205,27 @@
 
   /** Slows a client that breaks the protocol; ending its connection would only bring it back at once. */
   private void pause() {
-    ctx.channel().config().setAutoRead(false);
-    ctx.executor().schedule(() -> ctx.channel().config().setAutoRead(!discarding && ctx.channel().isWritable()),
-        PENALTY_MILLIS, TimeUnit.MILLISECONDS);
+    paused = true;
+    readOn();
+    ctx.executor().schedule(() -> {
+      paused = false;
+      readOn();
+    }, PENALTY_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /** Reads nothing from a client that does not take its answers. */
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     stuckSince = context.channel().isWritable() ? 0 : System.nanoTime();
-    context.channel().config().setAutoRead(context.channel().isWritable() && dropped <= MOST_DROPPED);
+    readOn();
   }
 
   /** Answers what breaks the protocol; a request that is taken already keeps its own, only answer. */
   private void reject(int status, String why) {
     keepAlive = false;
     head = null;
-    discard();
+    // Read no more, unless to see a waiting one's client leave: what it sends must not fill the memory.
+    discarding = true;
     if (waiting == null) {
       write(status, why.getBytes(StandardCharsets.UTF_8), "text/plain", 0);
     }
@@ -251,9 +265,10 @@
     }
     var written = ctx.writeAndFlush(response);
     if (last) {
-      discard();
+      discarding = true;
       written.addListener(ChannelFutureListener.CLOSE);
     }
+    readOn();
     side.becameIdle(this);
   }
 
--- /dev/null
+++ b/src/test/java/pumicekeel/node/ClientLeavesTest.java
@@ -0,0 +1,101 @@
+package pumicekeel.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import pumicekeel.Balancer.ClientGone;
+import pumicekeel.Balancer.Event;
+import pumicekeel.Balancer.Outcome;
+
+/** Clients that leave while their request waits: it is given up at once, and nothing is sent on for nobody. */
+class ClientLeavesTest {
+
+  /** The longest that the class allows: a request that ends by its time ends far behind all that is waited for. */
+  private static final long LEFT_MILLIS = 20_000;
+
+  private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+  /** What ended requests, in order: their clients' leaving and the outcomes of attempts. */
+  private final BlockingQueue<Event> ends = new LinkedBlockingQueue<>();
+
+  private TestSide start(FakeServer upstream) throws Exception {
+    return new TestSide(loop, event -> {
+      if (event instanceof ClientGone || event instanceof Outcome) {
+        ends.add(event);
+      }
+    }, upstream);
+  }
+
+  @AfterEach
+  void stop() {
+    loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+  }
+
+  static Stream<Arguments> behind() {
+    return Stream.of(true, false).flatMap(reset -> Stream.of(
+        Arguments.of("nothing", "", "", reset),
+        Arguments.of("noise in one piece with it", "nonsense\r\n\r\n", "", reset),
+        Arguments.of("noise in one piece with it, and more", "nonsense\r\n\r\n", "x".repeat(9_000), reset),
+        Arguments.of("another request in one piece with it", TestClient.look("2", LEFT_MILLIS, ""), "", reset),
+        Arguments.of("part of another request", "", "GET /look", reset),
+        Arguments.of("much", "", "x".repeat(60_000), reset)));
+  }
+
+  @ParameterizedTest(name = "{0}, reset {3}")
+  @MethodSource("behind")
+  void leavingIsSeenWhateverComesBehindTheRequest(String name, String at, String later, boolean reset)
+      throws Exception {
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {})) {
+      TestSide side = start(upstream);
+      try (TestClient client = new TestClient(side.address)) {
+        client.send(TestClient.look("1", LEFT_MILLIS, "") + at);
+        TestNode.until(() -> upstream.requests.size() == 1);
+        client.send(later).leave(reset);
+      }
+      assertInstanceOf(ClientGone.class, ends.poll(30, TimeUnit.SECONDS), "its time was not up");
+      TestNode.until(() -> upstream.closedByPeer.get() == 1);
+    }
+  }
+
+  /** The penalty for a mistake stops the reading, but not while a request waits. */
+  @Test
+  void leavingIsSeenBehindAMistake() throws Exception {
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {})) {
+      TestSide side = start(upstream);
+      try (TestClient client = new TestClient(side.address)) {
+        client.send(TestClient.look("0", LEFT_MILLIS, "").replace("acme", "nobody")
+            + TestClient.look("1", LEFT_MILLIS, "") + TestClient.look("2", LEFT_MILLIS, ""));
+        TestNode.until(() -> upstream.requests.size() == 1);
+        client.leave(false);
+      }
+      assertInstanceOf(ClientGone.class, ends.poll(30, TimeUnit.SECONDS), "its time was not up");
+    }
+  }
+
+  @Test
+  void floodBehindARequestIsAnsweredAtOnceAndItsAttemptGivenUp() throws Exception {
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {})) {
+      TestSide side = start(upstream);
+      try (TestClient client = new TestClient(side.address)) {
+        client.send(TestClient.look("1", LEFT_MILLIS, ""));
+        TestNode.until(() -> upstream.requests.size() == 1);
+        // Just over what is dropped: more would meet the closed connection while it is written.
+        client.send("x".repeat((64 << 10) + 1));
+        assertEquals(400, client.read().status());
+      }
+      assertInstanceOf(ClientGone.class, ends.poll(30, TimeUnit.SECONDS), "its time was not up");
+      TestNode.until(() -> upstream.closedByPeer.get() == 1);
+    }
+  }
+}
--- a/src/test/java/pumicekeel/node/TestClient.java
+++ b/src/test/java/pumicekeel/node/TestClient.java
@@ -45,6 +45,14 @@
     return send(text).read();
   }
 
+  /** Ends the connection, by a reset or by an end behind what was sent. */
+  void leave(boolean reset) throws IOException {
+    if (reset) {
+      socket.setSoLinger(true, 0);
+    }
+    socket.close();
+  }
+
   /** Whether the node ends this connection. */
   boolean ended() {
     try {
