Ask the client's socket whether it is still there before anything is sent on

Seen in tests over loopback: a loop that is behind finds a request and its client's end in the socket together. It read the request, and sent it on over a kept connection before it came to the end that lay behind it, however long ago the client had left; a retry after an outcome that was read first went the same way. At fault: BalancerCore.maySend, which knew of the client only what the loop had read.

maySend now asks the socket (PeerSocket, which UpstreamSocket was, for accepted ones too): one look a send. A request whose client has left ends there; the module hears NOT_SENT, finished. Tests: requestThatIsReadOnceItsClientHasLeftIsNotSent (FIN and RST) fails without it, as does clientThatHasLeftUnseenEndsItsRequestWhereItWouldBeSent. Right already, and held by a test now: a connection that comes up after the client left (whether or not the settings allow cancelling), and a request that waits in the module for room or for its attempt (FourRulesTest). requestWhoseClientHasLeftUnseenIsNotTriedAgain passes without the mend where the loop happens to read the client first.

--- a/src/main/java/pumicekeel/node/BalancerCore.java
+++ b/src/main/java/pumicekeel/node/BalancerCore.java
@@ -255,7 +255,11 @@
         () -> counts && maySend(r, upstream), clock, loop);
   }
 
+  /** Asked of the client's socket, since its end may still be unread: the loop that is behind sees it late. */
   private boolean maySend(OpenRequest r, UpstreamTable.Entry upstream) {
+    if (!r.ended && !r.client.here() && end(r)) {
+      counters.left();
+    }
     long now = clock.now();
     boolean drained = upstream.leavingFor(now) > settings.contract().drainGraceNanos() - DRAIN_MARGIN_NANOS;
     return !r.ended && !drained && r.repeatIsHarmless(now);
--- a/src/main/java/pumicekeel/node/ClientHandler.java
+++ b/src/main/java/pumicekeel/node/ClientHandler.java
@@ -100,6 +100,15 @@
     ctx.close();
   }
 
+  @Override
+  public boolean here() {
+    int ahead = ctx.channel() instanceof PeerSocket socket ? socket.ahead() : 0;
+    if (ahead > 0) {
+      drop(ahead);
+    }
+    return ahead >= 0 && waiting != null;
+  }
+
   /** Notes a request's first byte, and drops what a client sends that is not read any more. */
   @Override
   public boolean accepts(ByteBuf bytes) {
--- /dev/null
+++ b/src/main/java/pumicekeel/node/ClientListener.java
@@ -0,0 +1,20 @@
+package pumicekeel.node;
+
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import java.util.List;
+
+/** The listening socket: what it accepts can be asked whether its client is still there. */
+final class ClientListener extends NioServerSocketChannel {
+
+  @Override
+  protected int doReadMessages(List<Object> accepted) throws IOException {
+    SocketChannel socket = javaChannel().accept();
+    if (socket == null) {
+      return 0;
+    }
+    accepted.add(new PeerSocket(this, socket));
+    return 1;
+  }
+}
--- a/src/main/java/pumicekeel/node/ClientSide.java
+++ b/src/main/java/pumicekeel/node/ClientSide.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
@@ -45,7 +44,7 @@
 
   /** Listens; waits for the bind, so it is not to be called on the loop. */
   InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
-    listener = new ServerBootstrap().group(loop, loop).channel(NioServerSocketChannel.class)
+    listener = new ServerBootstrap().group(loop, loop).channelFactory(ClientListener::new)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
--- a/src/main/java/pumicekeel/node/ConnectionPool.java
+++ b/src/main/java/pumicekeel/node/ConnectionPool.java
@@ -31,7 +31,7 @@
   ConnectionPool(EventLoop loop, long connectTimeoutNanos, long idleNanos, int most) {
     this.most = most;
     this.idleNanos = (long) (idleNanos * IDLE_PART);
-    bootstrap = new Bootstrap().group(loop).channelFactory(UpstreamSocket::new)
+    bootstrap = new Bootstrap().group(loop).channelFactory(PeerSocket::new)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNanos / 1_000_000));
     long period = Math.max(1_000_000, this.idleNanos / SWEEPS);
@@ -55,7 +55,7 @@
       @Override
       protected void initChannel(Channel channel) {
         AnswerDecoder decoder = new AnswerDecoder();
-        UpstreamConnection connection = new UpstreamConnection(pool, (UpstreamSocket) channel, decoder);
+        UpstreamConnection connection = new UpstreamConnection(pool, (PeerSocket) channel, decoder);
         decoder.reader(connection);
         channel.pipeline().addLast(new HttpRequestEncoder(), decoder, connection);
       }
--- a/src/main/java/pumicekeel/node/UpstreamConnection.java
+++ b/src/main/java/pumicekeel/node/UpstreamConnection.java
@@ -30,7 +30,7 @@
   private static final long ANSWER_MILLIS = 300;
 
   private final UpstreamPool pool;
-  private final UpstreamSocket channel;
+  private final PeerSocket channel;
   private final AnswerDecoder decoder;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private UpstreamAttempt attempt;
@@ -43,15 +43,18 @@
   private boolean surplus;
   long idleSince;
 
-  UpstreamConnection(UpstreamPool pool, UpstreamSocket channel, AnswerDecoder decoder) {
+  UpstreamConnection(UpstreamPool pool, PeerSocket channel, AnswerDecoder decoder) {
     this.pool = pool;
     this.channel = channel;
     this.decoder = decoder;
   }
 
-  /** False where the peer has closed, or has sent what nobody asked for. */
+  /**
+   * False where the peer has closed, or has sent what nobody asked for. Guards a reuse against what the loop has still
+   * to read: a second copy of the last answer would be taken for the answer to the next request.
+   */
   boolean usable() {
-    return channel.quiet();
+    return channel.ahead() == 0;
   }
 
   /** Nothing has come since the last request was written. */
--- a/src/test/java/pumicekeel/FourRulesTest.java
+++ b/src/test/java/pumicekeel/FourRulesTest.java
@@ -158,6 +158,22 @@
     assertTrue(later.stream().noneMatch(a -> a instanceof Fail || a instanceof Refuse || a instanceof Send));
   }
 
+  @Test
+  void requestWhoseClientLeavesIsSentNowhereWhateverItWaitedFor() {
+    Driver d = new Driver(Driver.safe());
+    d.list(ListKind.CACHED);
+    d.request("room", "c", "k");
+    d.step(new Balancer.ClientGone("room"));
+    List<Action> later = d.list(ListKind.FULL, Driver.up(100), Driver.up(101));
+    later.addAll(d.pass(3000 * Driver.MS));
+    assertEquals(-1, Driver.sentTo(later), "for room");
+    long to = Driver.sentTo(d.request("retry", "c", "k"));
+    assertTrue(Driver.has(d.step(new Balancer.ClientGone("retry")), Balancer.Cancel.class));
+    later = d.end("retry", to, Status.FULL, Driver.MS);
+    later.addAll(d.pass(3000 * Driver.MS));
+    assertEquals(-1, Driver.sentTo(later), "for its attempt");
+  }
+
   /** Guards the list: a timer that fires a fraction of a microsecond early must not end the asking. */
   @Test
   void aTimerThatFiresALittleEarlyStillAsksForTheList() {
--- a/src/test/java/pumicekeel/node/BalancerCoreTest.java
+++ b/src/test/java/pumicekeel/node/BalancerCoreTest.java
@@ -22,6 +22,8 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import pumicekeel.Balancer;
 import pumicekeel.Balancer.Action;
 import pumicekeel.Balancer.Event;
@@ -46,6 +48,7 @@
   private final BlockingQueue<RuntimeException> defects = new LinkedBlockingQueue<>();
   private volatile boolean nested;
   private volatile boolean handling;
+  private volatile boolean here = true;
   private BalancerCore core;
   private Balancer.Settings settings;
 
@@ -55,6 +58,11 @@
   }
 
   private final Client client = new Client() {
+    @Override
+    public boolean here() {
+      return here;
+    }
+
     @Override
     public void served(Answer answer) {
       answers.add("served");
@@ -232,6 +240,42 @@
     }
   }
 
+  @Test
+  void clientThatHasLeftUnseenEndsItsRequestWhereItWouldBeSent() throws Exception {
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      start(BalancerCoreTest::sendOnRequest, upstream);
+      here = false;
+      take("1", "look", 15_000);
+      Outcome outcome = outcome();
+      assertEquals(Status.NOT_SENT, outcome.status());
+      assertTrue(outcome.finished());
+      here = true;
+      take("1", "look", 15_000);
+      assertEquals("served", answer());
+      assertEquals(1, upstream.requests.size());
+    }
+  }
+
+  /** Whether or not the settings let the module cancel: what has not gone out need not. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void clientThatLeavesBeforeTheConnectionIsUpIsNotSentOn(boolean cancels) throws Exception {
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      start((event, out) -> {
+        sendOnRequest(event, out);
+        if (event instanceof Balancer.ClientGone gone && cancels) {
+          out.accept(new Balancer.Cancel(gone.id(), 0));
+        }
+      }, upstream);
+      take("1", "order", 15_000, () -> core.clientGone("1"));
+      assertEquals(cancels ? Status.CANCELLED : Status.NOT_SENT, outcome().status());
+      take("2", "look", 15_000);
+      assertEquals("served", answer());
+      assertEquals(1, upstream.requests.size());
+      assertTrue(upstream.requests.get(0).contains("X-Correlation-Id: 2\n"), upstream.requests.get(0));
+    }
+  }
+
   /** A machine that takes nothing for a while must not run later what nobody waits for any more. */
   @Test
   void restOfARequestThatIsGivenUpNeverArrives() throws Exception {
--- a/src/test/java/pumicekeel/node/ClientLeavesTest.java
+++ b/src/test/java/pumicekeel/node/ClientLeavesTest.java
@@ -6,7 +6,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -15,6 +17,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import pumicekeel.Balancer.ClientGone;
 import pumicekeel.Balancer.Event;
 import pumicekeel.Balancer.Outcome;
@@ -24,6 +27,7 @@
 
   /** The longest that the class allows: a request that ends by its time ends far behind all that is waited for. */
   private static final long LEFT_MILLIS = 20_000;
+  private static final String UNPROCESSED = "HTTP/1.1 503 U\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
 
   private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
   /** What ended requests, in order: their clients' leaving and the outcomes of attempts. */
@@ -98,4 +102,63 @@
       TestNode.until(() -> upstream.closedByPeer.get() == 1);
     }
   }
+
+  /** A loop that is behind finds the request and its client's end in the socket together. */
+  @ParameterizedTest(name = "reset {0}")
+  @ValueSource(booleans = {false, true})
+  void requestThatIsReadOnceItsClientHasLeftIsNotSent(boolean reset) throws Exception {
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      TestSide side = start(upstream);
+      try (TestClient client = new TestClient(side.address)) {
+        assertEquals(200, client.call(TestClient.look("1", LEFT_MILLIS, "")).status(), "a connection is there now");
+        CountDownLatch behind = new CountDownLatch(1);
+        loop.execute(() -> await(behind));
+        client.send(TestClient.look("2", LEFT_MILLIS, "")).leave(reset);
+        behind.countDown();
+      }
+      TestNode.until(() -> side.open() == 0);
+      assertNextIsServed(side, upstream, 2);
+    }
+  }
+
+  @ParameterizedTest(name = "reset {0}")
+  @ValueSource(booleans = {false, true})
+  void requestWhoseClientHasLeftUnseenIsNotTriedAgain(boolean reset) throws Exception {
+    CountDownLatch left = new CountDownLatch(1);
+    CountDownLatch answered = new CountDownLatch(1);
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      left.await();
+      FakeServer.write(out, request.contains("X-Correlation-Id: 1\n") ? UNPROCESSED : FakeServer.ok("fine"));
+      answered.countDown();
+    })) {
+      TestSide side = start(upstream);
+      try (TestClient client = new TestClient(side.address)) {
+        client.send(TestClient.look("1", LEFT_MILLIS, ""));
+        TestNode.until(() -> upstream.requests.size() == 1);
+        CountDownLatch behind = new CountDownLatch(1);
+        loop.execute(() -> await(behind));
+        client.leave(reset);
+        left.countDown();
+        answered.await();
+        behind.countDown();
+      }
+      TestNode.until(() -> side.open() == 0);
+      assertNextIsServed(side, upstream, 2);
+    }
+  }
+
+  private void assertNextIsServed(TestSide side, FakeServer upstream, int requests) throws Exception {
+    try (TestClient next = new TestClient(side.address)) {
+      assertEquals(200, next.call(TestClient.look("next", LEFT_MILLIS, "")).status());
+    }
+    assertEquals(requests, upstream.requests.size(), String.join("\n", List.copyOf(upstream.requests)));
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
