Send nothing new to an upstream that leaves, whatever the drain grace is

At fault: BalancerCore.maySend took an upstream for drained once it had been leaving for longer than the grace less a margin of 200 ms. With a grace below the margin that holds for 0 ms, so of one that is ready as well, and every attempt ended NOT_SENT. With a usual grace an attempt whose connection came up late still went out up to 300 ms after the balancer heard of the drain, which may itself be later than when that counts as told.

An attempt whose first byte has not gone out when its upstream begins to leave is now placed again; the margin and the clock of leaving are gone. Tests: leavingUpstreamGetsNothingNew (graces of 0, 0.1 and 2 s; it slept through the grace before) and upstreamThatLeavesWhileTheConnectionComesUpGetsNothing fail without it.

--- a/src/main/java/pumicekeel/node/BalancerCore.java
+++ b/src/main/java/pumicekeel/node/BalancerCore.java
@@ -39,8 +39,6 @@
   private static final double ANSWER_MARGIN_PART = 0.125;
   /** The node's own answer where the module gave none in time, after the module's deadline. */
   private static final long GUARD_NANOS = 20_000_000L;
-  /** Stay clear of the grace's end: a send counts at its first byte. */
-  private static final long DRAIN_MARGIN_NANOS = 200_000_000L;
 
   private final Settings settings;
   private final Balancer module;
@@ -175,7 +173,7 @@
   }
 
   private void news(ListKind kind, HostList list) {
-    upstreams.news(kind != ListKind.DELTA, list.hosts(), clock.now());
+    upstreams.news(kind != ListKind.DELTA, list.hosts());
     tell(new ListNews(kind, list.hosts().stream().map(HostList.Host::listed).toList()));
   }
 
@@ -260,9 +258,7 @@
     if (!r.ended && !r.client.here() && end(r)) {
       counters.left();
     }
-    long now = clock.now();
-    boolean drained = upstream.leavingFor(now) > settings.contract().drainGraceNanos() - DRAIN_MARGIN_NANOS;
-    return !r.ended && !drained && r.repeatIsHarmless(now);
+    return !r.ended && !upstream.leaving() && r.repeatIsHarmless(clock.now());
   }
 
   private void cancel(Cancel a) {
--- a/src/main/java/pumicekeel/node/UpstreamTable.java
+++ b/src/main/java/pumicekeel/node/UpstreamTable.java
@@ -16,8 +16,7 @@
     private final long id;
     private UpstreamPool pool;
     private Listed listed;
-    /** When it began to leave, or 0 while it is ready. */
-    private long leavingSince;
+    private boolean leaving;
     private boolean gone;
     private int out;
 
@@ -33,9 +32,9 @@
       return listed;
     }
 
-    /** How long it has been leaving, or 0. */
-    long leavingFor(long now) {
-      return leavingSince == 0 ? 0 : now - leavingSince;
+    /** Whether the list says that it wants nothing new, or is gone. */
+    boolean leaving() {
+      return leaving;
     }
   }
 
@@ -56,18 +55,18 @@
   }
 
   /** Takes in changes, or the whole list: one that is absent from that is gone. */
-  void news(boolean whole, List<HostList.Host> hosts, long now) {
+  void news(boolean whole, List<HostList.Host> hosts) {
     Set<Long> named = new HashSet<>();
     for (HostList.Host host : hosts) {
       named.add(host.listed().upstream());
-      update(host, now);
+      update(host);
     }
     if (whole) {
-      List.copyOf(entries.values()).stream().filter(e -> !named.contains(e.id)).forEach(e -> leave(e, true, now));
+      List.copyOf(entries.values()).stream().filter(e -> !named.contains(e.id)).forEach(e -> leave(e, true));
     }
   }
 
-  private void update(HostList.Host host, long now) {
+  private void update(HostList.Host host) {
     Listed listed = host.listed();
     Entry e = entries.computeIfAbsent(listed.upstream(), Entry::new);
     if (e.pool == null || !e.pool.address().equals(host.address()) || e.gone) {
@@ -78,15 +77,15 @@
     }
     e.listed = listed;
     if (listed.state() == State.READY) {
-      e.leavingSince = 0;
+      e.leaving = false;
       e.gone = false;
     } else {
-      leave(e, listed.state() == State.GONE, now);
+      leave(e, listed.state() == State.GONE);
     }
   }
 
-  private void leave(Entry e, boolean gone, long now) {
-    e.leavingSince = e.leavingSince == 0 ? now : e.leavingSince;
+  private void leave(Entry e, boolean gone) {
+    e.leaving = true;
     e.gone = gone;
     if (gone) {
       e.pool.close();
--- a/src/test/java/pumicekeel/node/BalancerCoreTest.java
+++ b/src/test/java/pumicekeel/node/BalancerCoreTest.java
@@ -49,6 +49,7 @@
   private volatile boolean nested;
   private volatile boolean handling;
   private volatile boolean here = true;
+  private long drainGrace = 2_000_000_000L;
   private BalancerCore core;
   private Balancer.Settings settings;
 
@@ -80,7 +81,8 @@
   };
 
   private void start(Module module, FakeServer... upstreams) throws Exception {
-    Fields f = Fields.parse("configuration", TestNode.json(TestNode.nowhere(), 3, upstreams));
+    Fields f = Fields.parse("configuration", TestNode.json(TestNode.nowhere(), 3, upstreams)
+        .replace("\"drain-grace-ns\":2000000000", "\"drain-grace-ns\":" + drainGrace));
     settings = Decoder.settings(f.nested("settings"));
     ConnectionPool pool = new ConnectionPool(loop, 5_000_000_000L, 60_000_000_000L, 100);
     core = new BalancerCore(settings, (now, event, out) -> {
@@ -331,16 +333,16 @@
     assertTrue(defects.poll(30, TimeUnit.SECONDS).getMessage().contains("FetchList"));
   }
 
-  @Test
-  void drainedUpstreamGetsNothingAfterTheGraceAndTheOutcomeIsNotNested() throws Exception {
+  /** Whatever the grace: with none, one that is ready still gets its requests. */
+  @ParameterizedTest
+  @ValueSource(longs = {0, 100_000_000, 2_000_000_000})
+  void leavingUpstreamGetsNothingNewAndTheOutcomeIsNotNested(long grace) throws Exception {
     try (FakeServer upstream = FakeServer.serving("fine")) {
+      drainGrace = grace;
       start(BalancerCoreTest::sendOnRequest, upstream);
-      Balancer.Listed leaving = new Balancer.Listed(UPSTREAM, "a", 1, State.DRAINING, 0, 1);
       take("1", "look", 15_000);
       assertEquals(Status.SERVED, outcome().status(), "an idle connection makes the next send end at once");
-      loop.submit(() -> core.news(new HostList(8, false,
-          List.of(new HostList.Host(upstream.address(), leaving))))).get();
-      TimeUnit.NANOSECONDS.sleep(settings.contract().drainGraceNanos());
+      loop.submit(() -> core.news(leaving(upstream))).get();
       take("2", "look", 15_000);
       assertEquals(Status.NOT_SENT, outcome().status());
       assertEquals(1, upstream.requests.size());
@@ -349,6 +351,22 @@
     }
   }
 
+  /** The connect may take longer than the grace. */
+  @Test
+  void upstreamThatLeavesWhileTheConnectionComesUpGetsNothing() throws Exception {
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      start(BalancerCoreTest::sendOnRequest, upstream);
+      take("1", "look", 15_000, () -> core.news(leaving(upstream)));
+      assertEquals(Status.NOT_SENT, outcome().status());
+      assertEquals(0, upstream.requests.size());
+    }
+  }
+
+  private static HostList leaving(FakeServer upstream) {
+    return new HostList(8, false, List.of(new HostList.Host(upstream.address(),
+        new Balancer.Listed(UPSTREAM, "a", 1, State.DRAINING, 0, 1))));
+  }
+
   @Test
   void repeatAfterTheKeyedWindowIsNotSent() throws Exception {
     Consumer<Consumer<Action>> again = out -> out.accept(new Send("1", UPSTREAM, 15_000_000_000L));
--- a/src/test/java/pumicekeel/node/UpstreamTableTest.java
+++ b/src/test/java/pumicekeel/node/UpstreamTableTest.java
@@ -35,10 +35,10 @@
 
   @Test
   void thousandReplacedUpstreamsLeaveNothingBehind() {
-    table.news(true, List.of(host(0, State.READY)), 1);
+    table.news(true, List.of(host(0, State.READY)));
     for (int id = 1; id <= 1_000; id++) {
-      table.news(false, List.of(host(id, State.READY), host(id - 1, State.DRAINING)), id);
-      table.news(false, List.of(host(id - 1, State.GONE)), id);
+      table.news(false, List.of(host(id, State.READY), host(id - 1, State.DRAINING)));
+      table.news(false, List.of(host(id - 1, State.GONE)));
     }
     assertEquals(1, table.size());
     assertNotNull(table.get(1_000));
@@ -46,36 +46,36 @@
 
   @Test
   void oneThatIsGoneIsRememberedWhileAnAttemptIsOut() {
-    table.news(true, List.of(host(1, State.READY), host(2, State.READY)), 1);
+    table.news(true, List.of(host(1, State.READY), host(2, State.READY)));
     UpstreamTable.Entry first = table.get(1);
     table.started(first);
-    table.news(true, List.of(host(2, State.READY)), 5);
+    table.news(true, List.of(host(2, State.READY)));
     assertSame(first, table.get(1));
-    assertEquals(4, first.leavingFor(9), "absent from a whole list");
+    assertTrue(first.leaving(), "absent from a whole list");
     table.ended(first);
     assertNull(table.get(1));
-    assertEquals(4, first.leavingFor(9), "a send that is still to come may ask");
+    assertTrue(first.leaving(), "a send that is still to come may ask");
   }
 
   @Test
   void successorAtTheSameAddressInheritsNothing() {
-    table.news(true, List.of(host(1, State.READY)), 1);
-    table.news(false, List.of(host(1, State.DRAINING)), 2);
+    table.news(true, List.of(host(1, State.READY)));
+    table.news(false, List.of(host(1, State.DRAINING)));
     UpstreamPool before = table.get(1).pool();
-    table.news(false, List.of(host(2, State.READY)), 3);
+    table.news(false, List.of(host(2, State.READY)));
     UpstreamPool after = table.get(2).pool();
     assertEquals(before.address(), after.address());
     assertFalse(before == after);
-    assertEquals(0, table.get(2).leavingFor(9));
-    assertTrue(table.get(1).leavingFor(9) > 0);
+    assertFalse(table.get(2).leaving());
+    assertTrue(table.get(1).leaving());
   }
 
   @Test
   void oneThatIsReadyAgainLeavesNoMore() {
-    table.news(true, List.of(host(1, State.READY)), 1);
-    table.news(false, List.of(host(1, State.DRAINING)), 2);
-    table.news(false, List.of(host(1, State.GONE)), 3);
-    table.news(false, List.of(host(1, State.READY)), 4);
-    assertEquals(0, table.get(1).leavingFor(9));
+    table.news(true, List.of(host(1, State.READY)));
+    table.news(false, List.of(host(1, State.DRAINING)));
+    table.news(false, List.of(host(1, State.GONE)));
+    table.news(false, List.of(host(1, State.READY)));
+    assertFalse(table.get(1).leaving());
   }
 }
