Ask again soon for a list that is pushed, since what came meanwhile counts as told

Waiting spares a list service that all balancers share; a list that is pushed lies with an agent of the balancer's own machine, which answers at no cost. At fault: AdaptiveBalancer.onList, one back-off for both ways of discovery. Where the list is pushed it waits a fifth of the drain grace at most, however often watches failed.

Test: aListThatIsPushedIsAskedForAgainWellInsideTheDrainGrace (fails without it).

--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -93,9 +93,11 @@
   private static final long EJECT_FIRST = SECOND / 2;
   private static final long EJECT_MOST = 8 * SECOND;
   private static final double PANIC_SHARE = 0.5;
-  /** Back-off of calls for the list. */
+  /** Back-off of calls for the list, a service that all balancers share. And where it is pushed, in parts of
+   * the drain grace: what came meanwhile counts as told, and who is asked then has no others to serve. */
   private static final long ASK_FIRST = SECOND / 2;
   private static final long ASK_MOST = 2 * SECOND;
+  private static final double ASK_PUSHED = 0.2;
   /** Share of the cold budget's window that may be sent at once; sends a second that a cold upstream may
    * always get from all balancers together; how long usual sends are kept: longer than most outages. */
   private static final double COLD_BURST = 0.25;
@@ -615,7 +617,8 @@
   private void onList(ListNews news) {
     if (news.kind() == ListKind.FAILED) {
       // Full jitter, or all balancers would come back to the list service at once.
-      long backoff = Math.min(ASK_MOST, ASK_FIRST << Math.min(askFailures++, 10));
+      long backoff = settings.listOnRequest() ? Math.min(ASK_MOST, ASK_FIRST << Math.min(askFailures++, 10))
+          : Math.max(SWEEP, (long) (ASK_PUSHED * settings.contract().drainGraceNanos()));
       askAt = now + (long) (backoff * random.nextDouble());
       sweepBy(askAt);
       return;
--- a/src/test/java/pumicekeel/FourRulesTest.java
+++ b/src/test/java/pumicekeel/FourRulesTest.java
@@ -12,6 +12,7 @@
 import pumicekeel.Balancer.Listed;
 import pumicekeel.Balancer.Refuse;
 import pumicekeel.Balancer.Send;
+import pumicekeel.Balancer.Settings;
 import pumicekeel.Balancer.State;
 import pumicekeel.Balancer.Status;
 import pumicekeel.Balancer.Watch;
@@ -187,6 +188,17 @@
     assertTrue(Driver.has(actions, Watch.class));
   }
 
+  /** Guards the drain rule: what comes while no watch is on counts as told, however often watches failed before. */
+  @Test
+  void aListThatIsPushedIsAskedForAgainWellInsideTheDrainGrace() {
+    Settings settings = Driver.settings(false, List.of(), Driver.type("c", Effect.SAFE, DedupScope.ALL));
+    Driver d = new Driver(settings).upstreams(1);
+    for (int failures = 1; failures <= 20; failures++) {
+      d.list(ListKind.FAILED);
+      assertTrue(Driver.has(d.pass(settings.contract().drainGraceNanos() / 4), Watch.class), "failure " + failures);
+    }
+  }
+
   /** Guards against fixed savings times hundreds of balancers: a quiet start earns one retry, not twenty. */
   @Test
   void aBalancerThatHasSeenLittleTrafficRetriesLittle() {
