Refuse to start with a limit on sockets that leaves none

Seen: with "sockets":0 the balancer said that it serves, accepted nobody and never was ready; a count above 32 bits became another one. Both end now with one line that names limits.sockets, and status 2, as other malformed settings do. Test: two rows of badConfigurationIsOnePlainLineAndStatusTwo (without the check the process goes on).

--- a/src/main/java/pumicekeel/node/Configuration.java
+++ b/src/main/java/pumicekeel/node/Configuration.java
@@ -28,7 +28,7 @@
         address("listen", variable(environment, "PROXY_LISTEN", f, "listen")),
         address("discovery", variable(environment, "PROXY_DISCOVERY", f, "discovery")),
         seed(f.text("seed")),
-        (int) f.nested("limits").integer("sockets", 1024),
+        sockets(f.nested("limits").integer("sockets", 1024)),
         known.has("endpoints") ? HostList.of(known) : new HostList(0, true, java.util.List.of()),
         Decoder.settings(f.nested("settings")));
   }
@@ -51,6 +51,13 @@
     }
   }
 
+  private static int sockets(long limit) {
+    if (limit <= 0 || limit > Integer.MAX_VALUE) {
+      throw new IllegalArgumentException("limits.sockets: expected a count above 0, got " + limit);
+    }
+    return (int) limit;
+  }
+
   /** An address and a port; no names, since there is no DNS and a look-up would block the loop. */
   static InetSocketAddress address(String what, String text) {
     int colon = text.lastIndexOf(':');
--- a/src/test/java/pumicekeel/node/ProcessTest.java
+++ b/src/test/java/pumicekeel/node/ProcessTest.java
@@ -166,7 +166,8 @@
     String good = TestNode.json(TestNode.nowhere(), 1);
     for (String bad : new String[] {null, "", "{", "{}", good.replace("8c1f30d27a5be964", "seed"),
         good.replace("127.0.0.1:0", "localhost:0"), good.replace("127.0.0.1:0", "127.0.0.1:99999"),
-        good.replace("\"aim-ns\":2000000000", "\"aim-ns\":0")}) {
+        good.replace("\"aim-ns\":2000000000", "\"aim-ns\":0"), good.replace("\"sockets\":1024", "\"sockets\":0"),
+        good.replace("\"sockets\":1024", "\"sockets\":5000000000")}) {
       start(bad);
       assertEquals(2, status(), bad);
       String[] lines = log.lines().toArray(String[]::new);
