Hold by a test that an upstream which the list drops still answers what it has

Right already: the answer reaches the client, and the connection is closed and not used again, whether a whole list lacks the upstream or a change says that it is gone. Without the close of its pool the test fails.

--- a/src/test/java/pumicekeel/node/BalancerCoreTest.java
+++ b/src/test/java/pumicekeel/node/BalancerCoreTest.java
@@ -15,6 +15,7 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -362,6 +363,27 @@
     }
   }
 
+  /** What it has taken it finishes; its connection is of no further use. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void upstreamThatTheListDropsStillAnswersWhatItHas(boolean whole) throws Exception {
+    CountDownLatch dropped = new CountDownLatch(1);
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      dropped.await();
+      FakeServer.write(out, FakeServer.ok("fine"));
+    })) {
+      start(BalancerCoreTest::sendOnRequest, upstream);
+      take("1", "order", 15_000);
+      TestNode.until(() -> upstream.requests.size() == 1);
+      Balancer.Listed gone = new Balancer.Listed(UPSTREAM, "a", 1, State.GONE, 0, 1);
+      loop.submit(() -> core.news(new HostList(8, whole,
+          whole ? List.of() : List.of(new HostList.Host(upstream.address(), gone))))).get();
+      dropped.countDown();
+      assertEquals("served", answer());
+      TestNode.until(() -> upstream.closedByPeer.get() == 1);
+    }
+  }
+
   private static HostList leaving(FakeServer upstream) {
     return new HostList(8, false, List.of(new HostList.Host(upstream.address(),
         new Balancer.Listed(UPSTREAM, "a", 1, State.DRAINING, 0, 1))));
