Fail an attempt for whose socket there is no descriptor at once and on the loop

Where the process has no descriptor left, Netty gives a channel that is no socket, and tells of its failure on a thread of its own. The attempt ended there: the module and the table of requests were worked on by two threads. The pool counted the connection as open for ever, since its end is never told.

It answers now as it does at its own limit: no connection, at once, which proves that nothing ran. Test: attemptWithoutADescriptorForItsSocketFailsAtOnceAndTakesNoRoom; without the check it fails, 'an outcome is the loop's ==> expected: <true> but was: <false>'.

--- a/src/main/java/pumicekeel/node/ConnectionPool.java
+++ b/src/main/java/pumicekeel/node/ConnectionPool.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -29,9 +30,14 @@
   private int open;
 
   ConnectionPool(EventLoop loop, long connectTimeoutNanos, long idleNanos, int most) {
+    this(loop, connectTimeoutNanos, idleNanos, most, PeerSocket::new);
+  }
+
+  /** One whose sockets {@code sockets} makes. */
+  ConnectionPool(EventLoop loop, long connectTimeoutNanos, long idleNanos, int most, ChannelFactory<Channel> sockets) {
     this.most = most;
     this.idleNanos = (long) (idleNanos * IDLE_PART);
-    bootstrap = new Bootstrap().group(loop).channelFactory(PeerSocket::new)
+    bootstrap = new Bootstrap().group(loop).channelFactory(sockets)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNanos / 1_000_000));
     long period = Math.max(1_000_000, this.idleNanos / SWEEPS);
@@ -45,12 +51,11 @@
     return pool;
   }
 
-  /** Opens a connection; null where the limit on sockets leaves no room for one. */
+  /** Opens a connection; null where the limit on sockets, or the process's on descriptors, leaves no room for one. */
   ChannelFuture connect(UpstreamPool pool) {
     if (open >= most && !closeOldest()) {
       return null;
     }
-    open++;
     ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
       @Override
       protected void initChannel(Channel channel) {
@@ -60,6 +65,11 @@
         channel.pipeline().addLast(new HttpRequestEncoder(), decoder, connection);
       }
     }).connect(pool.address());
+    if (!connecting.channel().isRegistered()) {
+      // There is no socket: its end would never be told, and its failure only on another thread than the loop's.
+      return null;
+    }
+    open++;
     connecting.channel().closeFuture().addListener(closed -> open--);
     return connecting;
   }
--- a/src/test/java/pumicekeel/node/ConnectionPoolTest.java
+++ b/src/test/java/pumicekeel/node/ConnectionPoolTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -134,4 +135,29 @@
       assertEquals(1, first.requests.size());
     }
   }
+
+  /** Guards the one event loop: Netty tells of a socket that it could not make on a thread of its own. */
+  @Test
+  void attemptWithoutADescriptorForItsSocketFailsAtOnceAndTakesNoRoom() throws Exception {
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      AtomicInteger left = new AtomicInteger(2);
+      UpstreamPool pool = of(loop.submit(() -> new ConnectionPool(loop, LONG, LONG, 1, () -> {
+        if (left.getAndDecrement() > 0) {
+          throw new ChannelException("too many open files");
+        }
+        return new PeerSocket();
+      })).get(), upstream.address());
+      BlockingQueue<Boolean> onLoop = new LinkedBlockingQueue<>();
+      for (int i = 0; i < 2; i++) {
+        loop.execute(() -> send(pool, "1", true, (attempt, status, answer) -> {
+          outcomes.add(status);
+          onLoop.add(loop.inEventLoop());
+        }));
+        assertEquals(Status.CONNECT_FAILED, outcome());
+        assertEquals(true, onLoop.poll(30, TimeUnit.SECONDS), "an outcome is the loop's");
+      }
+      attempt(pool, true);
+      assertEquals(Status.SERVED, outcome());
+    }
+  }
 }
