Accept one client at a time, so that a crowd stays within the clients' descriptors

Found by reading; a test over loopback shows it. The listener accepted sixteen sockets in a row and counted them afterwards: at the limit that is up to fifteen connections too many, 130 of 256 descriptors where the clients' share is 115. With the upstreams' share and what the process itself holds that is over the limit. At fault: ClientSide.listen, which left Netty's default of 16 accepts a read.

Test: crowdIsAcceptedUpToTheLimitAndNoFurther; without the option 'expected: <100> but was: <112>'.

--- a/src/main/java/pumicekeel/node/ClientSide.java
+++ b/src/main/java/pumicekeel/node/ClientSide.java
@@ -20,6 +20,8 @@
   /** Read a piece at a time and few pieces in a row, or one client that floods would keep all others waiting. */
   private static final int READ_BYTES = 4096;
   private static final int READS_IN_A_ROW = 2;
+  /** Accepted at a time: each is counted before the next one, or a crowd would come in far over the limit. */
+  private static final int ACCEPTS_IN_A_ROW = 1;
 
   private final EventLoop loop;
   private final Settings settings;
@@ -47,6 +49,7 @@
     listener = new ServerBootstrap().group(loop, loop).channelFactory(ClientListener::new)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(1).maxMessagesPerRead(ACCEPTS_IN_A_ROW))
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.RECVBUF_ALLOCATOR,
             new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(READS_IN_A_ROW))
--- a/src/test/java/pumicekeel/node/ClientLimitsTest.java
+++ b/src/test/java/pumicekeel/node/ClientLimitsTest.java
@@ -3,8 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -151,4 +156,40 @@
       assertEquals(400, client.call("GET /live HTTP/1.1\r\nHost: h\r\n\r\n").status());
     }
   }
+
+  /** Guards the descriptors of upstreams and discovery: a crowd that waits to be accepted must not take them. */
+  @Test
+  void crowdIsAcceptedUpToTheLimitAndNoFurther() throws Exception {
+    EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    List<TestClient> crowd = new ArrayList<>();
+    try {
+      TestSide side = new TestSide(loop, event -> {});
+      CountDownLatch behind = new CountDownLatch(1);
+      loop.execute(() -> {
+        try {
+          behind.await();
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+      });
+      for (int i = 0; i < 2 * TestSide.MOST; i++) {
+        crowd.add(new TestClient(side.address));
+      }
+      behind.countDown();
+      int[] most = {0};
+      TestNode.until(() -> {
+        most[0] = Math.max(most[0], side.open());
+        return most[0] >= TestSide.MOST;
+      });
+      for (int i = 0; i < 1_000; i++) {
+        most[0] = Math.max(most[0], side.open());
+      }
+      assertEquals(TestSide.MOST, most[0]);
+    } finally {
+      for (TestClient client : crowd) {
+        client.close();
+      }
+      loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+  }
 }
--- a/src/test/java/pumicekeel/node/TestSide.java
+++ b/src/test/java/pumicekeel/node/TestSide.java
@@ -14,6 +14,9 @@
 /** The listening side with the real module behind it, on a loop that the test may stop and ask. */
 final class TestSide {
 
+  /** Its limit on connections. */
+  static final int MOST = 100;
+
   final InetSocketAddress address;
   private final EventLoop loop;
   private final ClientSide side;
@@ -29,7 +32,7 @@
       module.handle(now, event, out);
     }, new Clock(), loop, new LoopLag(loop), new ConnectionPool(loop, 5_000_000_000L, 60_000_000_000L, 100),
         defect -> {});
-    side = new ClientSide(loop, settings, core, 100, null);
+    side = new ClientSide(loop, settings, core, MOST, null);
     HostList known = HostList.of(f.nested("known"));
     on(() -> {
       core.start(known, watch -> {});
