Wait in tests until a client's end lies in the peer's socket

Seen: requestWhoseClientHasLeftUnseenIsNotTriedAgain failed in one row of twelve ("much", 40000 bytes and a FIN) in one of two runs on a busy machine. TestClient.leave came back before the end had been delivered, and the loop that the test had stopped went on ahead of it: the client had not left as far as any socket could tell. The test was at fault.

leave lingers now: the close is over once the peer's side has acknowledged the end, read or not. A reset is not acknowledged; behind it a connection over loopback is made and dropped, which arrives behind it. That is as good as the kernel's order over loopback, no proof.

--- a/src/test/java/pumicekeel/node/TestClient.java
+++ b/src/test/java/pumicekeel/node/TestClient.java
@@ -3,7 +3,9 @@
 import java.io.Closeable;
 import java.io.DataInputStream;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
@@ -45,12 +47,25 @@
     return send(text).read();
   }
 
-  /** Ends the connection, by a reset or by an end behind what was sent. */
+  /**
+   * Ends the connection, by a reset or by an end behind what was sent. Waits until that lies in the peer's socket: a busy
+   * machine may deliver later than it sends, and a loop that is stopped would go on ahead of it.
+   */
   void leave(boolean reset) throws IOException {
+    // The close of one that lingers is over once the peer's side has taken its end, read or not.
+    socket.setSoLinger(true, reset ? 0 : GENEROUS_MILLIS / 1_000);
+    socket.close();
     if (reset) {
-      socket.setSoLinger(true, 0);
+      passLoopback();
+    }
+  }
+
+  /** A reset is not acknowledged, but what is sent behind it over loopback arrives behind it. */
+  private static void passLoopback() throws IOException {
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        Socket behind = new Socket(listener.getInetAddress(), listener.getLocalPort())) {
+      behind.setTcpNoDelay(true);
     }
-    socket.close();
   }
 
   /** Whether the node ends this connection. */
