Tell of a client's end once, though its request was ended by the socket's word

Seen in a test over loopback: a client asks, leaves, and asks again under the same id on another connection, which a loop that is behind reads in one round. The first request ended where it would be sent (ClientHandler.here saw the end); the second was taken and sent; then the first connection's end was read, and told the core by its id: the second request's attempt was cancelled, and its client, which had not left, got no answer at all. At fault: ClientHandler, which kept the id of a request that its answer to here had ended already.

here now forgets the id and closes the connection where it finds the end. Test: clientThatAsksAgainOnAnotherConnectionIsAnswered, FIN and RST: without the three lines both fail by "Read timed out" after 30 s; with them both are answered. Ruled out: only forgetting the id.

--- a/src/main/java/pumicekeel/node/ClientHandler.java
+++ b/src/main/java/pumicekeel/node/ClientHandler.java
@@ -107,8 +107,12 @@
     int skipped = ctx.channel() instanceof PeerSocket socket && most > 0 ? socket.skip(most) : 0;
     if (skipped > 0) {
       drop(skipped);
+    } else if (skipped < 0) {
+      // Told by this answer, once: another connection may ask under the same id before this one's end is read.
+      waiting = null;
+      abort();
     }
-    return skipped >= 0 && waiting != null;
+    return waiting != null;
   }
 
   /** Notes a request's first byte, and drops what a client sends that is not read any more. */
--- a/src/test/java/pumicekeel/node/ClientLeavesTest.java
+++ b/src/test/java/pumicekeel/node/ClientLeavesTest.java
@@ -167,6 +167,34 @@
     }
   }
 
+  /** Its end may be read only once another connection asks under the same id, and that one has not left. */
+  @ParameterizedTest(name = "reset {0}")
+  @ValueSource(booleans = {false, true})
+  void clientThatAsksAgainOnAnotherConnectionIsAnswered(boolean reset) throws Exception {
+    CountDownLatch left = new CountDownLatch(1);
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      if (request.contains("X-Correlation-Id: again\n")) {
+        left.await();
+      }
+      FakeServer.write(out, FakeServer.ok("fine"));
+    })) {
+      TestSide side = start(upstream);
+      try (TestClient first = new TestClient(side.address); TestClient second = new TestClient(side.address)) {
+        assertEquals(200, first.call(TestClient.look("1", LEFT_MILLIS, "")).status());
+        assertEquals(200, second.call(TestClient.look("2", LEFT_MILLIS, "")).status());
+        CountDownLatch behind = new CountDownLatch(1);
+        loop.execute(() -> await(behind));
+        first.send(TestClient.look("again", LEFT_MILLIS, "")).leave(reset);
+        second.send(TestClient.look("again", LEFT_MILLIS, ""));
+        behind.countDown();
+        TestNode.until(() -> side.open() == 1);
+        left.countDown();
+        assertEquals(200, second.read().status());
+      }
+      assertEquals(3, upstream.requests.size());
+    }
+  }
+
   private void assertNextIsServed(TestSide side, FakeServer upstream, int requests) throws Exception {
     try (TestClient next = new TestClient(side.address)) {
       assertEquals(200, next.call(TestClient.look("next", LEFT_MILLIS, "")).status());
