Hold by a test that the watch comes back though idle clients fill the sockets

Nothing held that a balancer whose clients' share is full of idle connections watches again after an outage of discovery, and still answers /up and a new client. The test keeps 600 connections to a balancer of 256 sockets, each ended one coming back at once: never asked, asked once, half a head, and all three mixed; discovery falls silent, or ends each watch. Not held by it: that the process keeps within its descriptors, since the clients are in the same process; and the two lines of Discovery that end a silent watch and report an ended one were not taken out here.

--- a/src/test/java/pumicekeel/node/DiscoveryTest.java
+++ b/src/test/java/pumicekeel/node/DiscoveryTest.java
@@ -6,14 +6,18 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The watch, against a discovery that splits, falls silent, fails and changes its mind. */
@@ -222,6 +226,52 @@
     }
   }
 
+  static Stream<Arguments> crowds() {
+    String[][] crowds = {{IdleClients.NOTHING}, {IdleClients.ASKS_ONCE}, {IdleClients.HALF_A_HEAD},
+        {IdleClients.NOTHING, IdleClients.ASKS_ONCE, IdleClients.HALF_A_HEAD}};
+    return Stream.of(crowds).flatMap(c -> Stream.of(Arguments.of(true, c), Arguments.of(false, c)));
+  }
+
+  /** Discovery falls silent, or ends each watch for a while, as idle clients hold all that clients may have. */
+  @ParameterizedTest
+  @MethodSource("crowds")
+  void watchComesBackAndClientsAreServedThoughIdleOnesFillTheSockets(boolean silent, String[] crowd) throws Exception {
+    try (FakeServer before = FakeServer.serving("before"); FakeServer after = FakeServer.serving("after");
+        FakeServer server = new FakeServer((request, connection, out) -> FakeServer.write(out, HEAD))) {
+      TestNode node = new TestNode(TestNode.json(server.address(), 1, before)
+          .replace("\"sockets\":1024", "\"sockets\":256"));
+      TestNode.until(() -> server.requests.size() == 1);
+      try (IdleClients idle = new IdleClients(node.address, 600, true, crowd)) {
+        TestNode.until(() -> idle.ended.get() > 0);
+        if (!silent) {
+          server.behaviour = (request, connection, out) -> connection.close();
+          server.connections.get(0).close();
+          TestNode.until(() -> server.requests.size() > 2);
+        }
+        server.behaviour = (request, connection, out) -> {
+          FakeServer.write(out, HEAD);
+          chunk(out, list(8, false, TestNode.endpoint("s-0", after.address(), "in_service")));
+        };
+        int watches = server.requests.size();
+        for (int i = 0; server.requests.size() == watches; i++) {
+          assertEquals(200, answerTo(node, TestClient.look("d" + i, 15_000, "")).status(), "with the list it knows");
+        }
+        int[] calls = {0};
+        TestNode.until(() -> answerTo(node, TestClient.look("l" + calls[0]++, 15_000, "")).body().equals("after"));
+        assertEquals(200, answerTo(node, "GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status());
+      }
+    }
+  }
+
+  /** The answer to a new client's first request. */
+  private static TestClient.Reply answerTo(TestNode node, String request) {
+    try (TestClient client = new TestClient(node.address)) {
+      return client.call(request);
+    } catch (IOException e) {
+      throw new AssertionError("a client was turned away", e);
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"pushed", "on_request"})
   void nodeFollowsTheListHoweverTheSettingsSayThatItComes(String mode) throws Exception {
@@ -257,7 +307,7 @@
         all &= client.call(request).body().equals("kept");
       }
       return all;
-    } catch (java.io.IOException e) {
+    } catch (IOException e) {
       return false;
     }
   }
