Let a line that has refused ten in a row admit one, so that no balancer stays shut

In their logs: refusals at arrival alone, 'refused later 0', no attempt for seconds with nothing open (n3: 91 of 123 refused in 5 s), and 43 bad stretches of over 4 s, up to 12.7 s. Cause: a balancer with few requests a window sums samples as far back as five windows (Window.reach), and with them what it admitted before the stretch began. Once the mean is bad, that count alone is over the allowed rate until it has aged out: the line admits nothing, so it learns nothing of a recovery either. At fault: admit, which compared the reached count with the allowed rate and with nothing else.

One in eleven passes now, wherever the line stands: as many as a mean is made of are refused in a row at most. A floor of one a window was ruled out: where a window holds one request that is no limit (theLineRefusesWhereEveryWindowHoldsHardlyARequest).

--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -139,6 +139,7 @@
   private boolean panic;
   /** When the line first refused since its mean was healthy; 0 while it is. */
   private long refusedSince;
+  private int refusedInRow;
   private int askFailures;
   private long askAt = Long.MAX_VALUE;
   private long now;
@@ -264,7 +265,9 @@
     // Guards work inside a quota from what this balancer did not cause: no more is out than while healthy.
     boolean idle = quotaTokens.containsKey(r.request.tenant()) && readyLoad < usualInFlight * ready;
     double admitted = own.reach(now, Metric.ADMITTED, ENOUGH);
-    boolean refused = admitted >= allowed && (r.excess || !idle);
+    // What it admits is all that the line learns from: it is never shut for longer than a mean takes.
+    boolean refused = admitted >= allowed && (r.excess || !idle) && refusedInRow < ENOUGH;
+    refusedInRow = refused ? refusedInRow + 1 : 0;
     if (refused && refusedSince == 0) {
       out.accept(new Log(String.format(Locale.ROOT,
           "the line refuses: mean %.2f aims, own of %.0f samples; %.0f admitted, %.1f allowed, %.0f offered",
--- a/src/test/java/pumicekeel/AdmissionTest.java
+++ b/src/test/java/pumicekeel/AdmissionTest.java
@@ -229,4 +229,21 @@
     }
     assertEquals(3, sent);
   }
+
+  /** Guards a balancer of little traffic: its line reaches back for samples, and would be shut for all that time. */
+  @Test
+  void theLineIsNeverShutThoughItReachesFarBack() {
+    Driver d = new Driver(Driver.safe()).upstreams(60);
+    refusedShare(d, 60, 2, 40 * Driver.MS, Status.SERVED);
+    int refused = 0;
+    int most = 0;
+    for (int i = 0; i < 300; i++) {
+      long to = Driver.sentTo(d.request(d.nextId(), "c", "k" + i % 50));
+      refused = to >= 0 ? 0 : refused + 1;
+      most = Math.max(most, refused);
+      d.serveFor(100 * Driver.MS, Status.SERVED, 900 * Driver.MS);
+    }
+    assertTrue(most >= 5, "well over maxValue: refused in a row " + most);
+    assertTrue(most < 15, "turned away without an attempt in between: " + most);
+  }
 }
