Hold by tests that nothing is sent for a client that has left, wherever its request waits

Right already, and held by a test now, with FIN and RST: in the module's queue until room comes, and queued for a retry (cancel allowed and not; room behind the client's end as read, or ahead of it while that is unread); a connection to the upstream that comes up together with the client's end (cancel allowed and not, six kinds of unread bytes); a request behind a mistake, whose connection was paused; a client that ends only its own half, also with Connection: close.

Covered before, and not written twice: a connection that comes up after the client's end was read, cancel allowed and not (BalancerCoreTest.clientThatLeavesBeforeTheConnectionIsUpIsNotSentOn).

--- a/src/test/java/pumicekeel/node/ClientLeavesTest.java
+++ b/src/test/java/pumicekeel/node/ClientLeavesTest.java
@@ -2,10 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -21,6 +23,9 @@
 import pumicekeel.Balancer.ClientGone;
 import pumicekeel.Balancer.Event;
 import pumicekeel.Balancer.Outcome;
+import pumicekeel.Balancer.Request;
+import pumicekeel.Balancer.State;
+import pumicekeel.Balancer.Status;
 
 /** Clients that leave while their request waits: it is given up at once, and nothing is sent on for nobody. */
 class ClientLeavesTest {
@@ -32,13 +37,26 @@
   private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
   /** What ended requests, in order: their clients' leaving and the outcomes of attempts. */
   private final BlockingQueue<Event> ends = new LinkedBlockingQueue<>();
+  /** The ids of the requests that the module was told of. */
+  private final BlockingQueue<String> taken = new LinkedBlockingQueue<>();
+  /** What is done on the loop ahead of a request's decision. */
+  private volatile Runnable onRequest = () -> {};
 
-  private TestSide start(FakeServer upstream) throws Exception {
+  private TestSide start(FakeServer... upstreams) throws Exception {
+    return start(true, upstreams);
+  }
+
+  /** Requests wait in the module for as long as their clients do: one that was refused would prove nothing. */
+  private TestSide start(boolean cancels, FakeServer... upstreams) throws Exception {
     return new TestSide(loop, event -> {
       if (event instanceof ClientGone || event instanceof Outcome) {
         ends.add(event);
+      } else if (event instanceof Request r) {
+        onRequest.run();
+        taken.add(r.id());
       }
-    }, upstream);
+    }, configuration -> configuration.replace("\"cancel\":true", "\"cancel\":" + cancels)
+        .replace("\"aim-ns\":2000000000", "\"aim-ns\":200000000000"), upstreams);
   }
 
   @AfterEach
@@ -167,6 +185,156 @@
     }
   }
 
+  static Stream<Arguments> ways() {
+    return Stream.of(true, false).flatMap(cancels -> Stream.of(true, false).flatMap(reset ->
+        Stream.of(true, false).map(seen -> Arguments.of(cancels, reset, seen))));
+  }
+
+  /** Whether room comes after the client's end was read, or is there for a loop that is behind ahead of it. */
+  @ParameterizedTest(name = "cancel {0}, reset {1}, seen {2}")
+  @MethodSource("ways")
+  void requestThatIsQueuedIsNotSentOnceItsClientHasLeft(boolean cancels, boolean reset, boolean seen)
+      throws Exception {
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      TestSide side = start(cancels, upstream);
+      try (TestClient client = new TestClient(side.address)) {
+        assertEquals(200, client.call(TestClient.look("1", LEFT_MILLIS, "")).status(), "a connection is there now");
+        side.list(0, upstream, State.DRAINING).get();
+        client.send(TestClient.look("2", LEFT_MILLIS, ""));
+        TestNode.until(() -> taken.contains("2"));
+        leave(client, reset, seen, () -> side.list(0, upstream, State.READY));
+      }
+      TestNode.until(() -> side.open() == 0);
+      assertNextIsServed(side, upstream, 2);
+      assertEquals(List.of(), List.copyOf(side.defects));
+    }
+  }
+
+  /** One upstream is full, and the other has turned the request away. */
+  @ParameterizedTest(name = "cancel {0}, reset {1}, seen {2}")
+  @MethodSource("ways")
+  void requestThatIsQueuedForItsRetryIsNotSentOnceItsClientHasLeft(boolean cancels, boolean reset, boolean seen)
+      throws Exception {
+    int fill = 8;
+    CountDownLatch room = new CountDownLatch(1);
+    CountDownLatch answered = new CountDownLatch(fill);
+    try (FakeServer full = new FakeServer((request, connection, out) -> {
+      room.await();
+      FakeServer.write(out, FakeServer.ok("fine"));
+      answered.countDown();
+    }); FakeServer refuses = new FakeServer((request, connection, out) -> FakeServer.write(out, UNPROCESSED))) {
+      TestSide side = start(cancels, full);
+      List<TestClient> others = new ArrayList<>();
+      for (int i = 0; i < fill; i++) {
+        others.add(new TestClient(side.address).send(TestClient.look("fill" + i, LEFT_MILLIS, "")));
+      }
+      TestNode.until(() -> full.requests.size() == fill);
+      side.list(1, refuses, State.READY).get();
+      try (TestClient client = new TestClient(side.address)) {
+        client.send(TestClient.look("retried", LEFT_MILLIS, ""));
+        TestNode.until(() -> ends.stream().anyMatch(e -> e instanceof Outcome o && o.status() == Status.FULL));
+        leave(client, reset, seen, () -> {
+          room.countDown();
+          await(answered);
+        });
+        for (TestClient other : others) {
+          assertEquals(200, other.read().status());
+          other.close();
+        }
+      }
+      TestNode.until(() -> side.open() == 0);
+      side.list(1, refuses, State.GONE).get();
+      assertNextIsServed(side, full, fill + 1);
+      assertEquals(1, refuses.requests.size());
+      assertEquals(List.of(), List.copyOf(side.defects));
+    }
+  }
+
+  /** The client leaves, and room comes: behind its end as read, or unread but ahead of it. */
+  private void leave(TestClient client, boolean reset, boolean seen, Runnable room) throws Exception {
+    CountDownLatch behind = new CountDownLatch(1);
+    if (seen) {
+      client.leave(reset);
+      TestNode.until(() -> ends.stream().anyMatch(ClientGone.class::isInstance));
+      room.run();
+    } else {
+      loop.execute(() -> await(behind));
+      room.run();
+      client.leave(reset);
+      behind.countDown();
+    }
+  }
+
+  /** The loop finds the connection up and the client's end together, the connection first. */
+  @ParameterizedTest(name = "{0}, reset {2}")
+  @MethodSource("unread")
+  void requestWhoseConnectionComesUpOnceItsClientHasLeftIsNotSent(String name, String more, boolean reset)
+      throws Exception {
+    for (boolean cancels : new boolean[] {true, false}) {
+      try (FakeServer upstream = FakeServer.serving("fine")) {
+        TestSide side = start(cancels, upstream);
+        CountDownLatch behind = new CountDownLatch(1);
+        // Behind the task that connects, which the decision adds.
+        onRequest = () -> loop.execute(() -> loop.execute(() -> await(behind)));
+        try (TestClient client = new TestClient(side.address)) {
+          client.send(TestClient.look("1", LEFT_MILLIS, ""));
+          TestNode.until(() -> upstream.connections.size() == 1);
+          client.send(more).leave(reset);
+          onRequest = () -> {};
+          behind.countDown();
+        }
+        TestNode.until(() -> side.open() == 0);
+        assertNextIsServed(side, upstream, 1);
+      }
+    }
+  }
+
+  /** A mistake stops the reading for a while: what is read after that may have its client's end behind it. */
+  @ParameterizedTest(name = "{0}, reset {2}")
+  @MethodSource("unread")
+  void requestBehindAMistakeIsNotSentOnceItsClientHasLeft(String name, String more, boolean reset) throws Exception {
+    try (FakeServer upstream = FakeServer.serving("fine")) {
+      TestSide side = start(upstream);
+      try (TestClient client = new TestClient(side.address)) {
+        assertEquals(200, client.call(TestClient.look("1", LEFT_MILLIS, "")).status(), "a connection is there now");
+        assertEquals(400, client.call(TestClient.look("2", LEFT_MILLIS, "").replace("acme", "nobody")).status());
+        CountDownLatch behind = new CountDownLatch(1);
+        loop.execute(() -> await(behind));
+        client.send(TestClient.look("3", LEFT_MILLIS, "")).send(more).leave(reset);
+        behind.countDown();
+      }
+      TestNode.until(() -> side.open() == 0);
+      assertNextIsServed(side, upstream, 2);
+    }
+  }
+
+  /** One that ends its half of the connection has left too, though it asked for no more than this answer. */
+  @Test
+  void clientThatEndsItsHalfHasLeft() throws Exception {
+    try (FakeServer upstream = new FakeServer((request, connection, out) -> {
+      if (!request.contains("X-Correlation-Id: 1\n")) {
+        FakeServer.write(out, FakeServer.ok("fine"));
+      }
+    })) {
+      TestSide side = start(upstream);
+      try (TestClient seen = new TestClient(side.address); TestClient unseen = new TestClient(side.address)) {
+        seen.send(TestClient.look("1", LEFT_MILLIS, "Connection: close\r\n"));
+        TestNode.until(() -> upstream.requests.size() == 1);
+        seen.endOutput();
+        assertInstanceOf(ClientGone.class, ends.poll(30, TimeUnit.SECONDS), "its time was not up");
+        assertTrue(seen.ended());
+        assertEquals(200, unseen.call(TestClient.look("2", LEFT_MILLIS, "")).status(), "a connection is there now");
+        CountDownLatch behind = new CountDownLatch(1);
+        loop.execute(() -> await(behind));
+        unseen.send(TestClient.look("3", LEFT_MILLIS, "Connection: close\r\n")).endOutput();
+        behind.countDown();
+        assertTrue(unseen.ended());
+      }
+      TestNode.until(() -> side.open() == 0);
+      assertNextIsServed(side, upstream, 3);
+    }
+  }
+
   /** Its end may be read only once another connection asks under the same id, and that one has not left. */
   @ParameterizedTest(name = "reset {0}")
   @ValueSource(booleans = {false, true})
--- a/src/test/java/pumicekeel/node/TestClient.java
+++ b/src/test/java/pumicekeel/node/TestClient.java
@@ -68,6 +68,11 @@
     }
   }
 
+  /** Ends its own half of the connection only: it could still read an answer. */
+  void endOutput() throws IOException {
+    socket.shutdownOutput();
+  }
+
   /** Whether the node ends this connection. */
   boolean ended() {
     try {
