Bound a call for the list from its connect to the first thing that it tells

Cause: the connect had 2 s, then the silence timer 4.5 s, and the head of an answer began it anew: a discovery that is down could hold one call for up to some 9 s, also after SIGHUP, when what it has counts as told 4 s later.

Change: a call ends 2.5 s after its connect began unless a whole list or a heartbeat came; where nothing changed the first thing may be a heartbeat, so not less. A first list under way is not cut while more of it comes, white space aside, and has 4.5 s in all. Only what a list or a heartbeat tells begins the silence timer. The tests' event loop has a clock that only they move.

Each test seen to fail, its waits cut to 5 s for these runs but the last: with the call's bound as long as silence (callThatTellsNothing, callWhoseConnect, moveToAnAddressThatIsSilent: expected failed, was null); with the head taken for news (callThatTellsNothing: the same); with no bound renewed by progress (longFirstList: a condition waited for); with white space as progress (firstListThatStopsHalfway: expected failed, was null); with the call's bound for silence (watchThatHasToldSomething: a condition waited for); without the bound on a whole first list (firstListThatNeverEnds: a condition waited for). The last one passed without its line at first and was sharpened.

Ruled out: a bound of 2 s or less, which would cut a watch that has nothing to tell before its first heartbeat.

--- a/src/main/java/pumicekeel/node/Discovery.java
+++ b/src/main/java/pumicekeel/node/Discovery.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -31,16 +32,25 @@
  */
 final class Discovery {
 
+  private static final long HEARTBEAT_MILLIS = 2_000;
+  /** What a heartbeat may be late by on a busy machine. */
+  private static final long LATE_MILLIS = 500;
   /**
-   * A heartbeat comes every 2 s; two that stay out mean a connection that nobody serves any more. What there is to tell
-   * counts as told 6 s later: by then another watch has to be on, which a failure may put off by half a second.
+   * Two heartbeats that stay out mean a connection that nobody serves any more. What there is to tell counts as told
+   * 6 s after the last one: by then another watch has to be on, which the module's back-off may put off by a second.
    */
-  static final long SILENCE_MILLIS = 4_500;
-  private static final int CONNECT_MILLIS = 2_000;
+  static final long SILENCE_MILLIS = 2 * HEARTBEAT_MILLIS + LATE_MILLIS;
+  /**
+   * A call, from the start of its connect, until it has told something: the agent answers at once, but where nothing
+   * has changed the first thing to come may be a heartbeat. After SIGHUP what there is to tell counts as told 4 s
+   * later: a call at the new address that nobody answers has to end with time left for a back-off and another one.
+   */
+  static final long CALL_MILLIS = HEARTBEAT_MILLIS + LATE_MILLIS;
   /** No version of the list is known, so all of it is asked for. */
   private static final long NO_INDEX = -1;
 
   private final EventLoop loop;
+  private final long callMillis;
   private final long silenceMillis;
   private final Consumer<HostList> news;
   private final Runnable failed;
@@ -49,11 +59,12 @@
   private boolean wanted;
   private Channel current;
 
-  Discovery(EventLoop loop, InetSocketAddress address, long index, long silenceMillis, Consumer<HostList> news,
-      Runnable failed) {
+  Discovery(EventLoop loop, InetSocketAddress address, long index, long callMillis, long silenceMillis,
+      Consumer<HostList> news, Runnable failed) {
     this.loop = loop;
     this.address = address;
     this.index = index;
+    this.callMillis = callMillis;
     this.silenceMillis = silenceMillis;
     this.news = news;
     this.failed = failed;
@@ -98,7 +109,8 @@
     ListDecoder lists = new ListDecoder();
     WatchHandler handler = new WatchHandler(lists);
     current = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
+        // The call's own bound holds for its connect too.
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
         .handler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
@@ -109,14 +121,16 @@
             handler.end("cannot connect");
           }
         }).channel();
-    handler.channel = current;
+    handler.start(current);
   }
 
   /** Follows one watch: gets each list once it is whole, and the parts of the answer for what they tell of its end. */
   private final class WatchHandler extends SimpleChannelInboundHandler<Object> {
     private final ListDecoder lists;
     private Channel channel;
-    private ScheduledFuture<?> silence;
+    /** When more has to have come, and a first list all of it; the latter is null once something was told. */
+    private ScheduledFuture<?> due;
+    private ScheduledFuture<?> firstDue;
 
     WatchHandler(ListDecoder lists) {
       this.lists = lists;
@@ -129,26 +143,56 @@
           "/discovery/hosts?watch=1" + (index == NO_INDEX ? "" : "&after=" + index));
       request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
       ctx.writeAndFlush(request);
-      heard();
+    }
+
+    /**
+     * Bounds the call until it has told something, its connect included: a connection that comes up and an answer's
+     * head are no news, and each would put off the end.
+     */
+    void start(Channel connecting) {
+      channel = connecting;
+      due = endIn(callMillis, "told nothing");
+      firstDue = endIn(silenceMillis, "first list too slow");
+    }
+
+    private ScheduledFuture<?> endIn(long millis, String why) {
+      return loop.schedule(() -> end(why), millis, TimeUnit.MILLISECONDS);
     }
 
     /** Guards against a discovery that vanished: its connection stays open and says nothing for ever. */
     private void heard() {
-      if (silence != null) {
-        silence.cancel(false);
+      cancel();
+      firstDue = null;
+      due = endIn(silenceMillis, "silent");
+    }
+
+    /** A long first list is not cut as long as more of it comes, in the time that a watch may be silent for at most. */
+    private void progressed() {
+      due.cancel(false);
+      due = endIn(callMillis, "first list stopped");
+    }
+
+    private void cancel() {
+      due.cancel(false);
+      if (firstDue != null) {
+        firstDue.cancel(false);
       }
-      silence = loop.schedule(() -> end("silent"), silenceMillis, TimeUnit.MILLISECONDS);
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, Object message) throws IOException {
+      if (current != channel) {
+        return;
+      }
       if (message instanceof ByteBuf list) {
         read(list.toString(StandardCharsets.UTF_8));
         return;
       }
-      if (!lists.begun()) {
+      if (message instanceof HttpContent && !lists.begun()) {
         // A list that stops halfway is silence too, whatever comes behind it.
         heard();
+      } else if (firstDue != null && lists.begun() && !lists.blank()) {
+        progressed();
       }
       if (((HttpObject) message).decoderResult().isFailure()) {
         end("malformed answer");
@@ -160,12 +204,11 @@
     }
 
     private void read(String text) throws IOException {
-      if (current == channel) {
-        HostList list = HostList.of(Fields.parse("list", text));
-        index = list.index();
-        Log.caused("discovery: " + list);
-        news.accept(list);
-      }
+      HostList list = HostList.of(Fields.parse("list", text));
+      index = list.index();
+      heard();
+      Log.caused("discovery: " + list);
+      news.accept(list);
     }
 
     @Override
@@ -180,9 +223,7 @@
 
     /** Ends this watch once; one that was replaced or stopped is nobody's failure. */
     private void end(String why) {
-      if (silence != null) {
-        silence.cancel(false);
-      }
+      cancel();
       channel.close();
       if (current == channel) {
         current = null;
--- a/src/main/java/pumicekeel/node/ListDecoder.java
+++ b/src/main/java/pumicekeel/node/ListDecoder.java
@@ -13,6 +13,8 @@
   /** Far above any list; one without an end must not fill the memory. */
   private static final int MAX_LIST = 4 << 20;
 
+  private boolean blank;
+
   ListDecoder() {
     super(MAX_LIST);
   }
@@ -22,9 +24,15 @@
     return actualReadableBytes() > 0;
   }
 
+  /** Whether the latest part of the body held nothing of a list: a heartbeat, though it may stand inside one. */
+  boolean blank() {
+    return blank;
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
     if (message instanceof HttpContent part) {
+      blank = part.content().forEachByte(b -> Character.isWhitespace(b & 0xff)) < 0;
       super.channelRead(ctx, part.content().retain());
     }
     ctx.fireChannelRead(message);
--- a/src/main/java/pumicekeel/node/Node.java
+++ b/src/main/java/pumicekeel/node/Node.java
@@ -50,7 +50,7 @@
     clients = new ClientSide(loop, settings, core, (int) (configuration.sockets() * CLIENT_SHARE),
         warmUpPath);
     discovery = new Discovery(loop, configuration.discovery(), configuration.known().index(),
-        Discovery.SILENCE_MILLIS, core::news, core::watchFailed);
+        Discovery.CALL_MILLIS, Discovery.SILENCE_MILLIS, core::news, core::watchFailed);
   }
 
   /** Runs a balancer until SIGTERM; the exit status, 2 for a configuration or an address that is no good. */
--- a/src/test/java/pumicekeel/node/DiscoveryTest.java
+++ b/src/test/java/pumicekeel/node/DiscoveryTest.java
@@ -8,9 +8,16 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -28,6 +35,12 @@
   private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
   private final BlockingQueue<Object> heard = new LinkedBlockingQueue<>();
 
+  /** Bounds by the clock that a test moves on. */
+  private static final long CALL = 1_000;
+  private static final long SILENCE = 3_250;
+
+  private final ClockLoop clock = new ClockLoop();
+
   private static void chunk(OutputStream out, String text) throws Exception {
     FakeServer.write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
   }
@@ -36,13 +49,24 @@
     return "{\"index\":" + index + ",\"snapshot\":" + whole + ",\"endpoints\":[" + String.join(",", endpoints) + "]}\n";
   }
 
+  /** A watch that may be silent for so long and whose call has no other bound. */
   private Discovery discovery(InetSocketAddress address, long silenceMillis) {
-    Discovery discovery = new Discovery(loop, address, 7, silenceMillis, heard::add,
+    return discovery(address, silenceMillis, silenceMillis);
+  }
+
+  private Discovery discovery(InetSocketAddress address, long callMillis, long silenceMillis) {
+    Discovery discovery = new Discovery(loop, address, 7, callMillis, silenceMillis, heard::add,
         () -> heard.add("failed"));
     loop.execute(() -> discovery.watch(true));
     return discovery;
   }
 
+  private Discovery clocked(InetSocketAddress address) {
+    Discovery discovery = new Discovery(clock, address, 7, CALL, SILENCE, heard::add, () -> heard.add("failed"));
+    clock.execute(() -> discovery.watch(true));
+    return discovery;
+  }
+
   private Object next() throws InterruptedException {
     return heard.poll(30, TimeUnit.SECONDS);
   }
@@ -50,6 +74,7 @@
   @AfterEach
   void stop() {
     loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    clock.shutdownGracefully(0, 0, TimeUnit.SECONDS);
   }
 
   @Test
@@ -135,6 +160,137 @@
     }
   }
 
+  /** Discovery that is down: connects come up, or an answer begins, and nothing more comes. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "HTTP/1.1 200", HEAD, HEAD + "1", HEAD + "12\r\n{\"index\": 8,"})
+  void callThatTellsNothingEndsBeforeAWatchWouldBeSilent(String text) throws Exception {
+    try (FakeServer server = new FakeServer((request, connection, out) -> FakeServer.write(out, text))) {
+      discovery(server.address(), 200, 60_000);
+      assertEquals("failed", next());
+      TestNode.until(() -> server.closedByPeer.get() == 1);
+      assertTrue(heard.isEmpty());
+    }
+  }
+
+  /** The backlog is full, so the connect never comes up, as at a machine that vanished. */
+  @Test
+  void callWhoseConnectNeverComesUpEnds() throws Exception {
+    try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      List<Socket> waiting = new ArrayList<>();
+      try {
+        for (int i = 0; i < 10; i++) {
+          waiting.add(new Socket());
+          waiting.get(i).connect(full.getLocalSocketAddress(), 200);
+        }
+      } catch (SocketTimeoutException e) {
+        // Nothing more comes up from here on.
+      }
+      discovery((InetSocketAddress) full.getLocalSocketAddress(), 200, 60_000);
+      assertEquals("failed", next());
+      for (Socket socket : waiting) {
+        socket.close();
+      }
+    }
+  }
+
+  /** What ends a call that told nothing must not end a watch, which nothing new may keep silent between heartbeats. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void watchThatHasToldSomethingIsCutOnlyOnceItIsSilent(boolean heartbeat) throws Exception {
+    try (FakeServer server = new FakeServer((request, connection, out) -> {
+      FakeServer.write(out, HEAD);
+      chunk(out, heartbeat ? "\n" : list(8, true));
+    })) {
+      clocked(server.address());
+      TestNode.until(() -> clock.untilNext() == SILENCE);
+      if (!heartbeat) {
+        assertEquals(8, ((HostList) next()).index());
+      }
+      clock.pass(SILENCE - 1);
+      assertTrue(heard.isEmpty());
+      clock.pass(1);
+      assertEquals("failed", next());
+    }
+  }
+
+  @Test
+  void longFirstListIsNotCutAsLongAsMoreOfItComes() throws Exception {
+    Semaphore more = new Semaphore(0);
+    try (FakeServer server = new FakeServer((request, connection, out) -> {
+      FakeServer.write(out, HEAD);
+      for (String part : list(8, true).split("(?<=,)")) {
+        more.acquire();
+        chunk(out, part);
+      }
+    })) {
+      clocked(server.address());
+      TestNode.until(() -> server.requests.size() == 1);
+      for (int part = 0; part < 2; part++) {
+        clock.pass(CALL - 1);
+        more.release();
+        TestNode.until(() -> clock.untilNext() == CALL);
+      }
+      clock.pass(CALL - 1);
+      more.release();
+      assertEquals(8, ((HostList) next()).index());
+    }
+  }
+
+  /** Guards the drain rule: a first list that trickles for ever would be no failure and tell nothing. */
+  @Test
+  void firstListThatNeverEndsIsCutThoughMoreOfItComes() throws Exception {
+    Semaphore more = new Semaphore(0);
+    try (FakeServer server = new FakeServer((request, connection, out) -> {
+      FakeServer.write(out, HEAD);
+      chunk(out, "{\"snapshot\": \"");
+      while (true) {
+        more.acquire();
+        chunk(out, "x");
+      }
+    })) {
+      clocked(server.address());
+      TestNode.until(() -> server.requests.size() == 1);
+      long step = CALL / 2;
+      for (long past = step; past <= SILENCE - CALL; past += step) {
+        clock.pass(step);
+        more.release();
+        TestNode.until(() -> clock.untilNext() == CALL);
+      }
+      clock.pass(CALL - 1);
+      more.release();
+      long left = SILENCE % step + 1;
+      TestNode.until(() -> clock.untilNext() == left);
+      clock.pass(left - 1);
+      assertTrue(heard.isEmpty());
+      clock.pass(1);
+      assertEquals("failed", next());
+    }
+  }
+
+  /** Guards the drain rule: heartbeats behind a first list that stopped are white space inside it. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void firstListThatStopsHalfwayEndsItsCallThoughHeartbeatsGoOn(boolean withHead) throws Exception {
+    String part = "{\"index\": 8,\n";
+    try (FakeServer server = new FakeServer((request, connection, out) -> {
+      if (withHead) {
+        FakeServer.write(out, HEAD + Integer.toHexString(part.length()) + "\r\n" + part + "\r\n");
+      } else {
+        FakeServer.write(out, HEAD);
+        Thread.sleep(20);
+        chunk(out, part);
+      }
+      while (true) {
+        Thread.sleep(20);
+        chunk(out, "\n");
+      }
+    })) {
+      discovery(server.address(), 500, 60_000);
+      assertEquals("failed", next());
+      TestNode.until(() -> server.closedByPeer.get() == 1);
+    }
+  }
+
   /** Guards the drain rule: what there is to tell counts as told after 6 s, whether it arrived or not. */
   @Test
   void silenceIsNoticedAfterTwoHeartbeatsAndInTimeToAskAgain() {
@@ -208,6 +364,23 @@
     }
   }
 
+  /** Guards the rule on SIGHUP: only a call that ends can be followed by another one in time. */
+  @Test
+  void moveToAnAddressThatIsSilentEndsLikeAnyCallAndIsAskedAgain() throws Exception {
+    try (FakeServer after = new FakeServer((request, connection, out) -> {})) {
+      Discovery discovery = discovery(TestNode.nowhere(), 500, 60_000);
+      assertEquals("failed", next());
+      loop.execute(() -> discovery.moveTo(after.address()));
+      assertEquals("failed", next());
+      after.behaviour = (request, connection, out) -> {
+        FakeServer.write(out, HEAD);
+        chunk(out, list(3, true));
+      };
+      loop.execute(() -> discovery.watch(true));
+      assertEquals(3, ((HostList) next()).index());
+    }
+  }
+
   @Test
   void nodeFollowsAnAddressThatMovedAndAsksAgainAfterAFailure() throws Exception {
     try (FakeServer before = FakeServer.serving("before"); FakeServer after = FakeServer.serving("after");
