Tell the module that the watch failed where there was no descriptor for its socket

Where clients, upstreams and the process itself hold every descriptor, Netty gives a channel that is no socket, tells of its failure on a thread of its own, and throws when that channel is closed. Discovery's watch ended in that exception ahead of its failure being told: no watch was on, and none was ever asked for again, until the process ended. Idle clients may fill the descriptors while discovery is down. At fault: Discovery.connect, which took the failure on any thread, and end and stop, which closed any channel.

Test: noDescriptorForASocketIsAFailureAndTheNextCallIsMade; with the close unguarded 'expected: <failed> but was: <null>', with the failure taken off the loop 'but was: <elsewhere>'. Ruled out: retrying in Discovery; how soon to ask again is the module's decision.

--- a/src/main/java/pumicekeel/node/Discovery.java
+++ b/src/main/java/pumicekeel/node/Discovery.java
@@ -3,6 +3,8 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -50,6 +52,7 @@
   private static final long NO_INDEX = -1;
 
   private final EventLoop loop;
+  private final ChannelFactory<Channel> sockets;
   private final long callMillis;
   private final long silenceMillis;
   private final Consumer<HostList> news;
@@ -61,7 +64,14 @@
 
   Discovery(EventLoop loop, InetSocketAddress address, long index, long callMillis, long silenceMillis,
       Consumer<HostList> news, Runnable failed) {
+    this(loop, NioSocketChannel::new, address, index, callMillis, silenceMillis, news, failed);
+  }
+
+  /** One whose sockets {@code sockets} makes. */
+  Discovery(EventLoop loop, ChannelFactory<Channel> sockets, InetSocketAddress address, long index, long callMillis,
+      long silenceMillis, Consumer<HostList> news, Runnable failed) {
     this.loop = loop;
+    this.sockets = sockets;
     this.address = address;
     this.index = index;
     this.callMillis = callMillis;
@@ -101,14 +111,14 @@
     Channel before = current;
     current = null;
     if (before != null) {
-      before.close();
+      close(before);
     }
   }
 
   private void connect() {
     ListDecoder lists = new ListDecoder();
     WatchHandler handler = new WatchHandler(lists);
-    current = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+    ChannelFuture connecting = new Bootstrap().group(loop).channelFactory(sockets)
         // The call's own bound holds for its connect too.
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
         .handler(new ChannelInitializer<Channel>() {
@@ -116,12 +126,22 @@
           protected void initChannel(Channel channel) {
             channel.pipeline().addLast(new HttpClientCodec(), lists, handler);
           }
-        }).connect(address).addListener(connected -> {
-          if (!connected.isSuccess()) {
-            handler.end("cannot connect");
-          }
-        }).channel();
+        }).connect(address);
+    current = connecting.channel();
     handler.start(current);
+    connecting.addListener(connected -> {
+      if (!connected.isSuccess()) {
+        // Of a socket that could not be made Netty tells on a thread of its own.
+        loop.execute(() -> handler.end("cannot connect: " + connected.cause().getMessage()));
+      }
+    });
+  }
+
+  /** Where no descriptor was left there is no socket to close, and asking for it is an exception. */
+  private static void close(Channel channel) {
+    if (channel.isOpen()) {
+      channel.close();
+    }
   }
 
   /** Follows one watch: gets each list once it is whole, and the parts of the answer for what they tell of its end. */
@@ -224,7 +244,7 @@
     /** Ends this watch once; one that was replaced or stopped is nobody's failure. */
     private void end(String why) {
       cancel();
-      channel.close();
+      close(channel);
       if (current == channel) {
         current = null;
         Log.caused("discovery: watch failed: " + why);
--- a/src/test/java/pumicekeel/node/DiscoveryTest.java
+++ b/src/test/java/pumicekeel/node/DiscoveryTest.java
@@ -3,9 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.ChannelException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -19,6 +21,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -371,6 +374,27 @@
     assertEquals("failed", next());
   }
 
+  /** Guards the watch where clients and upstreams hold every descriptor: its end must be told, and on the loop. */
+  @Test
+  void noDescriptorForASocketIsAFailureAndTheNextCallIsMade() throws Exception {
+    try (FakeServer server = new FakeServer((request, connection, out) -> {
+      FakeServer.write(out, HEAD);
+      chunk(out, list(8, true));
+    })) {
+      AtomicInteger left = new AtomicInteger(1);
+      Discovery discovery = new Discovery(loop, () -> {
+        if (left.getAndDecrement() > 0) {
+          throw new ChannelException("too many open files");
+        }
+        return new NioSocketChannel();
+      }, server.address(), 7, 60_000, 60_000, heard::add, () -> heard.add(loop.inEventLoop() ? "failed" : "elsewhere"));
+      loop.execute(() -> discovery.watch(true));
+      assertEquals("failed", next());
+      loop.execute(() -> discovery.watch(true));
+      assertEquals(8, ((HostList) next()).index());
+    }
+  }
+
   @Test
   void moveAsksTheNewOneForAllAtOnceAndIsNobodysFailure() throws Exception {
     try (FakeServer before = new FakeServer((request, connection, out) -> FakeServer.write(out, HEAD));
