Send no second copy past the request's deadline

At fault: hedge, which asked for the aim alone.

A copy needs the deadline ahead, as well as the aim. Nothing else holds it: a test of its own is still to be written.

--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -480,7 +480,8 @@
     boolean mayCopy = r.out == 1 && settings.limits().secondCopies() && settings.limits().cancel()
         && r.attempts.size() < settings.limits().maxAttempts() && hedgeTokens >= 1
         && silent(r.attempts.get(r.attempts.size() - 1).upstream)
-        && now - r.arrived <= r.type.aimNanos() && fleet.mean(now, ENOUGH) <= MIN_VALUE;
+        && now < Math.min(r.request.deadlineNanos(), r.arrived + r.type.aimNanos())
+        && fleet.mean(now, ENOUGH) <= MIN_VALUE;
     Upstream u = mayCopy ? place(r) : null;
     if (u != null) {
       hedgeTokens--;
