Let a cold upstream's requests earn their sends, so that no fleet saves them up

Cause: each balancer could save one whole send for a cold upstream, so a lull and then a burst that reached all balancers brought it one request from each: past what it stands from about a hundred balancers on. Balancers alike also reached their first token together, and a request hinted as four means cost one. Change: each request that would go to a cold upstream earns its warmth's part of a send, while the budget lasts; a whole one sends and costs the request's load. No more is saved than one request's part (few balancers: two sends in all), and the parts start at a random phase. One in another zone is asked last, so that nothing earned is kept.

--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -100,8 +100,9 @@
   private static final long ASK_FIRST = SECOND / 2;
   private static final long ASK_MOST = 6 * SECOND - 9 * SECOND / 2 - SECOND / 2;
   private static final double ASK_PUSHED = 0.2;
-  /** Share of the cold budget's window that may be sent at once; sends a second that a cold upstream may
-   * always get from all balancers together; how long usual sends are kept: longer than most outages. */
+  /** Share of the cold budget's window that may be saved; sends a second that a cold upstream may always get
+   * from all balancers together, and so many saved; how long usual sends are kept: longer than most outages.
+   */
   private static final double COLD_BURST = 0.25;
   private static final double COLD_TRICKLE = 2;
   private static final long SENDS_KEPT = 30 * SECOND;
@@ -334,6 +335,7 @@
     // Guards against keys that leave their warm upstreams in a crowd: each move is work, and so more crowd.
     double part = r.key.total(now, Metric.OFFERED) / Math.max(1, fleet.total(now, Metric.OFFERED));
     double most = sparse() || !settings.warmKeys() ? ready : KEY_SPREAD + Math.ceil(KEY_PARTS * ready * part);
+    Upstream coldAway = null;
     Upstream away = null;
     Upstream crowded = null;
     visits++;
@@ -345,16 +347,19 @@
       if (!again && mayGoTo(r, u) && usable(u)) {
         boolean hasRoom = u.load < bound(u);
         double taken = u.busy.total(now, Metric.SUM) / usualLatency + 0.5;
-        boolean fits = hasRoom && (!sparse() || taken < (near(u) ? nearMost : awayMost));
-        if (near(u) && fits) {
+        boolean cold = warmth(u) < 1;
+        boolean fits = hasRoom && (cold || !sparse() || taken < (near(u) ? nearMost : awayMost));
+        if (near(u) && fits && (!cold || takes(u))) {
           return u;
         }
         tried += near(u) ? 1 : 0;
-        away = away == null && fits ? u : away;
-        crowded = crowded == null && hasRoom ? u : crowded;
+        // Asked last: one that earned a send and then was not needed would have saved it for a burst.
+        coldAway = cold && fits && !near(u) && coldAway == null && away == null ? u : coldAway;
+        away = away == null && fits && !cold ? u : away;
+        crowded = crowded == null && hasRoom && !cold ? u : crowded;
       }
     }
-    return away == null ? crowded : away;
+    return coldAway != null && takes(coldAway) ? coldAway : away == null ? crowded : away;
   }
 
   private boolean sparse() {
@@ -366,8 +371,7 @@
   }
 
   private boolean usable(Upstream u) {
-    return (panic || u.ejectedUntil <= now && !u.onTrial && !silent(u))
-        && (warmth(u) >= 1 || coldTokens(u) >= 1);
+    return panic || u.ejectedUntil <= now && !u.onTrial && !silent(u);
   }
 
   private double bound(Upstream u) {
@@ -428,14 +432,29 @@
     return u.started <= 0 || part >= 1 ? 1 : settings.contract().coldFrom() * (1 - part) + part;
   }
 
-  /** Sends that a cold upstream may still get: its warmth's part of what a warm one usually gets, most of it
+  /** Whether a cold upstream takes a request that would be sent to it. Each such request earns its warmth's
+   * part of a send while the budget lasts, and a whole one sends. Guards against what all balancers save
+   * in a lull: a whole token at each of a hundred is a hundred requests at once, and more than it stands. */
+  private boolean takes(Upstream u) {
+    double part = Math.min(coldPart(u), coldTokens(u));
+    u.cold.tokens -= part;
+    u.coldEarned += part;
+    return u.coldEarned >= 1;
+  }
+
+  /** What a request earns at most, and what is saved for it: few balancers may save more each than many. */
+  private double coldPart(Upstream u) {
+    return Math.min(1, Math.max(warmth(u), COLD_TRICKLE / settings.groupSize()));
+  }
+
+  /** Sends that a cold upstream may still earn: its warmth's part of what a warm one usually gets, most of it
    * from its zone. The trickle guards against a fleet that is cold all at once and would wait
    * for traffic to be allowed any. */
   private double coldTokens(Upstream u) {
     double usual = usualSends * (near(u) ? nearPart : 1.0 / Math.max(1, ready));
     double rate = Math.max(COLD_TRICKLE / settings.groupSize(), warmth(u) * usual);
     double seconds = COLD_BURST * settings.contract().fallWindowNanos() / SECOND;
-    return u.cold.fill(now, rate, Math.max(1, rate * seconds));
+    return u.cold.fill(now, rate, Math.max(coldPart(u), rate * seconds));
   }
 
   // ---- Life of a request --------------------------------------------------------------------------------
@@ -469,7 +488,7 @@
     u.inFlight++;
     u.load += r.load;
     u.onTrial = u.ejections > 0;
-    u.cold.tokens -= warmth(u) < 1 ? 1 : 0;
+    u.coldEarned -= warmth(u) < 1 ? r.load : 0;
     readyLoad += r.load;
     out.accept(new Send(r.request.id(), u.id, r.request.deadlineNanos() - now));
     watch(r);
@@ -651,6 +670,8 @@
         u.ejectedUntil = 0;
         u.cold.tokens = 0;
         u.cold.filledAt = now;
+        // Or balancers alike would all reach their first send at the same time.
+        u.coldEarned = random.nextDouble();
       }
       u.listed = e;
     }
--- a/src/main/java/pumicekeel/Upstream.java
+++ b/src/main/java/pumicekeel/Upstream.java
@@ -7,6 +7,8 @@
   /** In-flight time over the long window of bounded load. */
   final Window busy;
   final TokenBucket cold = new TokenBucket();
+  /** The part of a send that requests for it have earned while it is cold. */
+  double coldEarned;
   Balancer.Listed listed;
   long started;
   long firstServed;
