Hold by a test that a process of 256 descriptors goes on under 600 idle clients

The process itself, under a limit of 256 descriptors, with 102 requests held at upstreams, 600 idle clients that come back (never asked, asked once, all kinds mixed) and a discovery that ends each watch: its watch comes back, /up and a new client's request are answered, every held request is answered, nothing says 'Too many open files', and SIGTERM ends it with status 0.

--- a/src/test/java/pumicekeel/node/ProcessTest.java
+++ b/src/test/java/pumicekeel/node/ProcessTest.java
@@ -1,6 +1,7 @@
 package pumicekeel.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -11,11 +12,18 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** The program as a process: its start, its end, its exit status. */
 class ProcessTest {
@@ -161,6 +169,97 @@
     }
   }
 
+  static Stream<Arguments> crowds() {
+    String[] all = {IdleClients.NOTHING, IdleClients.ASKS_ONCE, IdleClients.HALF_A_HEAD};
+    return Stream.of(Arguments.of((Object) new String[] {IdleClients.NOTHING}),
+        Arguments.of((Object) new String[] {IdleClients.ASKS_ONCE}), Arguments.of((Object) all));
+  }
+
+  /** All that may come together: idle clients and upstreams at their limits, and discovery that ends each watch. */
+  @ParameterizedTest
+  @MethodSource("crowds")
+  void processWithFewDescriptorsKeepsWithinThemAndGoesOn(String[] crowd) throws Exception {
+    CountDownLatch held = new CountDownLatch(1);
+    FakeServer.Behaviour watch = (request, connection, out) ->
+        FakeServer.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    FakeServer[] upstreams = new FakeServer[17];
+    for (int i = 0; i < upstreams.length; i++) {
+      upstreams[i] = new FakeServer((request, connection, out) -> {
+        held.await();
+        FakeServer.write(out, FakeServer.ok("fine"));
+      });
+    }
+    try (FakeServer server = new FakeServer(watch)) {
+      Path file = Files.writeString(folder.resolve("config.json"), TestNode.json(server.address(), 1, upstreams)
+          .replace("\"sockets\":1024", "\"sockets\":256"));
+      ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n 256; exec \"$0\" \"$@\"",
+          Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-cp",
+          System.getProperty("java.class.path"), "pumicekeel.adapter.Main", "serve");
+      builder.environment().put("PROXY_CONFIG", file.toString());
+      process = builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+      TestNode.until(() -> logged().contains(" serves at /"));
+      String serving = logged().lines().filter(l -> l.contains(" serves at /")).findFirst().orElseThrow();
+      InetSocketAddress address = Configuration.address("log", serving.substring(serving.indexOf('/') + 1));
+      TestNode.until(() -> server.requests.size() == 1);
+      List<TestClient> asking = new ArrayList<>();
+      for (int i = 0; i < 102; i++) {
+        asking.add(new TestClient(address).send(TestClient.look("h" + i, 20_000, "").replace("Key: k", "Key: k" + i)));
+      }
+      try {
+        TestNode.until(() -> Stream.of(upstreams).mapToInt(u -> u.requests.size()).sum() == 102);
+        AtomicInteger most = new AtomicInteger();
+        try (IdleClients idle = new IdleClients(address, 600, true, crowd)) {
+          server.behaviour = (request, connection, out) -> connection.close();
+          server.connections.get(0).close();
+          TestNode.until(() -> {
+            most.accumulateAndGet(descriptors(), Math::max);
+            return server.requests.size() > 3 && idle.ended.get() > 100;
+          });
+          server.behaviour = watch;
+          int watches = server.requests.size();
+          TestNode.until(() -> {
+            most.accumulateAndGet(descriptors(), Math::max);
+            return server.requests.size() > watches;
+          });
+          try (TestClient up = new TestClient(address)) {
+            assertEquals(200, up.call("GET /up HTTP/1.1\r\nHost: h\r\n\r\n").status());
+          }
+          held.countDown();
+          try (TestClient next = new TestClient(address)) {
+            assertEquals("fine", next.call(TestClient.look("n", 15_000, "")).body());
+          }
+          assertTrue(most.get() > 217 && most.get() < 256, "descriptors in use at the worst: " + most);
+          assertFalse(logged().contains("Too many open files"), logged());
+          for (TestClient client : asking) {
+            assertTrue(List.of(200, 429).contains(client.read().status()), "served, or its time was up meanwhile");
+          }
+          process.destroy();
+          assertEquals(0, status());
+        }
+      } finally {
+        for (TestClient client : asking) {
+          client.close();
+        }
+        for (FakeServer upstream : upstreams) {
+          upstream.close();
+        }
+      }
+    }
+  }
+
+  private String logged() {
+    try {
+      return Files.readString(folder.resolve("log"));
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** How many descriptors the process has open. */
+  private int descriptors() {
+    return Path.of("/proc", Long.toString(process.pid()), "fd").toFile().list().length;
+  }
+
   @Test
   void badConfigurationIsOnePlainLineAndStatusTwo() throws Exception {
     String good = TestNode.json(TestNode.nowhere(), 1);
