Hold by a test of its own that no second copy is sent past the request's deadline

A request that waits for less than its class's aim, at an upstream that falls silent, on a given clock. Without the check in hedge it fails: a copy is sent 50 ms past the deadline ('timeoutNanos=-').

--- a/src/test/java/pumicekeel/PlacementTest.java
+++ b/src/test/java/pumicekeel/PlacementTest.java
@@ -148,6 +148,24 @@
     assertTrue(Driver.has(end, Balancer.Cancel.class), "the loser is cancelled");
   }
 
+  /** Guards a client that waits for less than its aim: past its deadline a copy is work for nobody. */
+  @Test
+  void silentUpstreamsRequestIsNotCopiedPastItsDeadline() {
+    Balancer.Settings base = Driver.safe();
+    Balancer.Contract rules = base.contract();
+    Driver d = new Driver(new Balancer.Settings(0, 1, "a", base.classes(), base.tenants(), base.limits(),
+        new Balancer.Contract(400 * Driver.MS, 0, rules.drainGraceNanos(), rules.coldFrom(), rules.warmWithinNanos(),
+            rules.fallMultiple(), rules.fallWindowNanos()),
+        base.prices(), false, base.weightKind(), 1, true, Driver.MS)).upstreams(4);
+    for (int i = 0; i < 400; i++) {
+      d.serve("k" + i % 40, 10 * Driver.MS);
+    }
+    String id = d.nextId();
+    d.step(new Balancer.Request(id, "c", null, "k1", d.now + 100 * Driver.MS, 0, false));
+    assertEquals(1, d.outstanding.size());
+    assertEquals(List.of(), d.pass(290 * Driver.MS).stream().filter(a -> a instanceof Send).toList());
+  }
+
   /** Guards against a dead upstream that fails fast and so always looks free. */
   @Test
   void upstreamThatFailsIsEjectedAndTriedAgain() {
