--- a/src/test/java/pumicekeel/node/IdleClients.java
+++ b/src/test/java/pumicekeel/node/IdleClients.java
@@ -17,11 +17,10 @@
 
   private static final long PERIOD_MILLIS = 5;
 
-  /** One of them: its socket, what of its text is still to be sent, and when it connected. */
+  /** One of them: its socket, and what of its text is still to be sent. */
   private static final class Client {
     private final SocketChannel socket = SocketChannel.open();
     private final ByteBuffer unsent;
-    private final long since = System.nanoTime();
 
     Client(InetSocketAddress address, String text) throws IOException {
       unsent = ByteBuffer.wrap(text.getBytes(StandardCharsets.US_ASCII));
@@ -43,9 +42,8 @@
     }
   }
 
-  /** How many connections the balancer has ended, and the longest that one of these was open. */
+  /** How many connections the balancer has ended. */
   final AtomicInteger ended = new AtomicInteger();
-  volatile long longestNanos;
   private final Client[] clients;
   private final Thread thread;
   private volatile boolean closing;
@@ -62,7 +60,6 @@
         while (!closing) {
           for (int i = 0; i < count; i++) {
             if (clients[i] != null && clients[i].ended(scratch)) {
-              longestNanos = Math.max(longestNanos, System.nanoTime() - clients[i].since);
               clients[i].socket.close();
               clients[i] = comeBack ? new Client(address, texts[i % texts.length]) : null;
               ended.incrementAndGet();
