--- a/src/main/java/pumicekeel/AdaptiveBalancer.java
+++ b/src/main/java/pumicekeel/AdaptiveBalancer.java
@@ -103,8 +103,8 @@
   /** Share of the cold budget's window that may be saved; sends a second that a cold upstream may always get
    * from all balancers together, and so many saved; how long usual sends are kept: longer than most outages.
    */
-  private static final double COLD_BURST = 0.25;
-  private static final double COLD_TRICKLE = 2;
+  private static final double SLOW_START_BURST = 0.25;
+  private static final double SLOW_START_TRICKLE = 2;
   private static final long SENDS_KEPT = 30 * SECOND;
 
   private final Settings settings;
@@ -335,7 +335,7 @@
     // Guards against keys that leave their warm upstreams in a crowd: each move is work, and so more crowd.
     double part = r.key.total(now, Metric.OFFERED) / Math.max(1, fleet.total(now, Metric.OFFERED));
     double most = sparse() || !settings.warmKeys() ? ready : KEY_SPREAD + Math.ceil(KEY_PARTS * ready * part);
-    Upstream coldAway = null;
+    Upstream startingAway = null;
     Upstream away = null;
     Upstream crowded = null;
     visits++;
@@ -347,19 +347,20 @@
       if (!again && mayGoTo(r, u) && usable(u)) {
         boolean hasRoom = u.load < bound(u);
         double taken = u.busy.total(now, Metric.SUM) / usualLatency + 0.5;
-        boolean cold = warmth(u) < 1;
-        boolean fits = hasRoom && (cold || !sparse() || taken < (near(u) ? nearMost : awayMost));
-        if (near(u) && fits && (!cold || takes(u))) {
+        boolean inSlowStart = warmth(u) < 1;
+        boolean fits = hasRoom && (inSlowStart || !sparse() || taken < (near(u) ? nearMost : awayMost));
+        if (near(u) && fits && (!inSlowStart || mayTake(u))) {
           return u;
         }
         tried += near(u) ? 1 : 0;
         // Asked last: one that earned a send and then was not needed would have saved it for a burst.
-        coldAway = cold && fits && !near(u) && coldAway == null && away == null ? u : coldAway;
-        away = away == null && fits && !cold ? u : away;
-        crowded = crowded == null && hasRoom && !cold ? u : crowded;
+        startingAway = inSlowStart && fits && !near(u) && startingAway == null && away == null ? u
+            : startingAway;
+        away = away == null && fits && !inSlowStart ? u : away;
+        crowded = crowded == null && hasRoom && !inSlowStart ? u : crowded;
       }
     }
-    return coldAway != null && takes(coldAway) ? coldAway : away == null ? crowded : away;
+    return startingAway != null && mayTake(startingAway) ? startingAway : away == null ? crowded : away;
   }
 
   private boolean sparse() {
@@ -424,7 +425,7 @@
         || r.type.effect() == Effect.KEYED && r.type.dedupScope() == DedupScope.ALL;
   }
 
-  // ---- Rule 4: cold upstreams ---------------------------------------------------------------------------
+  // ---- Rule 4: slow start --------------------------------------------------------------------------------
 
   /** The part of its capacity that an upstream surely has: from cold-from, evenly, to the whole. */
   private double warmth(Upstream u) {
@@ -435,26 +436,26 @@
   /** Whether a cold upstream takes a request that would be sent to it. Each such request earns its warmth's
    * part of a send while the budget lasts, and a whole one sends. Guards against what all balancers save
    * in a lull: a whole token at each of a hundred is a hundred requests at once, and more than it stands. */
-  private boolean takes(Upstream u) {
-    double part = Math.min(coldPart(u), coldTokens(u));
-    u.cold.tokens -= part;
-    u.coldEarned += part;
-    return u.coldEarned >= 1;
+  private boolean mayTake(Upstream u) {
+    double part = Math.min(slowStartPart(u), slowStartTokens(u));
+    u.slowStart.tokens -= part;
+    u.slowStartEarned += part;
+    return u.slowStartEarned >= 1;
   }
 
   /** What a request earns at most, and what is saved for it: few balancers may save more each than many. */
-  private double coldPart(Upstream u) {
-    return Math.min(1, Math.max(warmth(u), COLD_TRICKLE / settings.groupSize()));
+  private double slowStartPart(Upstream u) {
+    return Math.min(1, Math.max(warmth(u), SLOW_START_TRICKLE / settings.groupSize()));
   }
 
   /** Sends that a cold upstream may still earn: its warmth's part of what a warm one usually gets, most of it
    * from its zone. The trickle guards against a fleet that is cold all at once and would wait
    * for traffic to be allowed any. */
-  private double coldTokens(Upstream u) {
+  private double slowStartTokens(Upstream u) {
     double usual = usualSends * (near(u) ? nearPart : 1.0 / Math.max(1, ready));
-    double rate = Math.max(COLD_TRICKLE / settings.groupSize(), warmth(u) * usual);
-    double seconds = COLD_BURST * settings.contract().fallWindowNanos() / SECOND;
-    return u.cold.fill(now, rate, Math.max(coldPart(u), rate * seconds));
+    double rate = Math.max(SLOW_START_TRICKLE / settings.groupSize(), warmth(u) * usual);
+    double seconds = SLOW_START_BURST * settings.contract().fallWindowNanos() / SECOND;
+    return u.slowStart.fill(now, rate, Math.max(slowStartPart(u), rate * seconds));
   }
 
   // ---- Life of a request --------------------------------------------------------------------------------
@@ -488,7 +489,7 @@
     u.inFlight++;
     u.load += r.load;
     u.onTrial = u.ejections > 0;
-    u.coldEarned -= warmth(u) < 1 ? r.load : 0;
+    u.slowStartEarned -= warmth(u) < 1 ? r.load : 0;
     readyLoad += r.load;
     out.accept(new Send(r.request.id(), u.id, r.request.deadlineNanos() - now));
     watch(r);
@@ -668,10 +669,10 @@
         u.failures = 0;
         u.ejections = 0;
         u.ejectedUntil = 0;
-        u.cold.tokens = 0;
-        u.cold.filledAt = now;
+        u.slowStart.tokens = 0;
+        u.slowStart.filledAt = now;
         // Or balancers alike would all reach their first send at the same time.
-        u.coldEarned = random.nextDouble();
+        u.slowStartEarned = random.nextDouble();
       }
       u.listed = e;
     }
--- a/src/main/java/pumicekeel/Upstream.java
+++ b/src/main/java/pumicekeel/Upstream.java
@@ -6,9 +6,9 @@
   final Window window;
   /** In-flight time over the long window of bounded load. */
   final Window busy;
-  final TokenBucket cold = new TokenBucket();
+  final TokenBucket slowStart = new TokenBucket();
   /** The part of a send that requests for it have earned while it is cold. */
-  double coldEarned;
+  double slowStartEarned;
   Balancer.Listed listed;
   long started;
   long firstServed;
