Start a process and stop a loop in one way in the tests

Three tests wrote the program's command line and environment each for itself, two of them without clearing the variables that the first one clears; two waited on a stopped loop's thread in their own words. ProcessTest.program and TestNode.await serve them all.

--- a/src/test/java/pumicekeel/node/ClientLeavesTest.java
+++ b/src/test/java/pumicekeel/node/ClientLeavesTest.java
@@ -141,7 +141,7 @@
       try (TestClient client = new TestClient(side.address)) {
         assertEquals(200, client.call(TestClient.look("1", LEFT_MILLIS, "")).status(), "a connection is there now");
         CountDownLatch behind = new CountDownLatch(1);
-        loop.execute(() -> await(behind));
+        loop.execute(() -> TestNode.await(behind));
         client.send(TestClient.look("2", LEFT_MILLIS, "")).send(more).leave(reset);
         behind.countDown();
       }
@@ -168,7 +168,7 @@
           client.send(TestClient.look("1", LEFT_MILLIS, ""));
           TestNode.until(() -> upstream.requests.size() == 1);
           CountDownLatch behind = new CountDownLatch(1);
-          loop.execute(() -> await(behind));
+          loop.execute(() -> TestNode.await(behind));
           mayAnswer.countDown();
           if (!leavesFirst) {
             // The loop reads first what was there first: the outcome, and tries again ahead of the client's end.
@@ -235,7 +235,7 @@
         TestNode.until(() -> ends.stream().anyMatch(e -> e instanceof Outcome o && o.status() == Status.FULL));
         leave(client, reset, seen, () -> {
           room.countDown();
-          await(answered);
+          TestNode.await(answered);
         });
         for (TestClient other : others) {
           assertEquals(200, other.read().status());
@@ -258,7 +258,7 @@
       TestNode.until(() -> ends.stream().anyMatch(ClientGone.class::isInstance));
       room.run();
     } else {
-      loop.execute(() -> await(behind));
+      loop.execute(() -> TestNode.await(behind));
       room.run();
       client.leave(reset);
       behind.countDown();
@@ -275,7 +275,7 @@
         TestSide side = start(cancels, upstream);
         CountDownLatch behind = new CountDownLatch(1);
         // Behind the task that connects, which the decision adds.
-        onRequest = () -> loop.execute(() -> loop.execute(() -> await(behind)));
+        onRequest = () -> loop.execute(() -> loop.execute(() -> TestNode.await(behind)));
         try (TestClient client = new TestClient(side.address)) {
           client.send(TestClient.look("1", LEFT_MILLIS, ""));
           TestNode.until(() -> upstream.connections.size() == 1);
@@ -299,7 +299,7 @@
         assertEquals(200, client.call(TestClient.look("1", LEFT_MILLIS, "")).status(), "a connection is there now");
         assertEquals(400, client.call(TestClient.look("2", LEFT_MILLIS, "").replace("acme", "nobody")).status());
         CountDownLatch behind = new CountDownLatch(1);
-        loop.execute(() -> await(behind));
+        loop.execute(() -> TestNode.await(behind));
         client.send(TestClient.look("3", LEFT_MILLIS, "")).send(more).leave(reset);
         behind.countDown();
       }
@@ -325,7 +325,7 @@
         assertTrue(seen.ended());
         assertEquals(200, unseen.call(TestClient.look("2", LEFT_MILLIS, "")).status(), "a connection is there now");
         CountDownLatch behind = new CountDownLatch(1);
-        loop.execute(() -> await(behind));
+        loop.execute(() -> TestNode.await(behind));
         unseen.send(TestClient.look("3", LEFT_MILLIS, "Connection: close\r\n")).endOutput();
         behind.countDown();
         assertTrue(unseen.ended());
@@ -351,7 +351,7 @@
         assertEquals(200, first.call(TestClient.look("1", LEFT_MILLIS, "")).status());
         assertEquals(200, second.call(TestClient.look("2", LEFT_MILLIS, "")).status());
         CountDownLatch behind = new CountDownLatch(1);
-        loop.execute(() -> await(behind));
+        loop.execute(() -> TestNode.await(behind));
         first.send(TestClient.look("again", LEFT_MILLIS, "")).leave(reset);
         second.send(TestClient.look("again", LEFT_MILLIS, ""));
         behind.countDown();
@@ -369,12 +369,4 @@
     }
     assertEquals(requests, upstream.requests.size(), String.join("\n", List.copyOf(upstream.requests)));
   }
-
-  private static void await(CountDownLatch latch) {
-    try {
-      latch.await();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
 }
--- a/src/test/java/pumicekeel/node/ClientLimitsTest.java
+++ b/src/test/java/pumicekeel/node/ClientLimitsTest.java
@@ -165,13 +165,7 @@
     try {
       TestSide side = new TestSide(loop, event -> {});
       CountDownLatch behind = new CountDownLatch(1);
-      loop.execute(() -> {
-        try {
-          behind.await();
-        } catch (InterruptedException e) {
-          Thread.currentThread().interrupt();
-        }
-      });
+      loop.execute(() -> TestNode.await(behind));
       for (int i = 0; i < 2 * TestSide.MOST; i++) {
         crowd.add(new TestClient(side.address));
       }
--- a/src/test/java/pumicekeel/node/ProcessTest.java
+++ b/src/test/java/pumicekeel/node/ProcessTest.java
@@ -33,26 +33,38 @@
   private Process process;
   private BufferedReader log;
 
+  /** The program with the configuration in this test's folder, behind what a shell is to do ahead of it, if anything. */
+  private ProcessBuilder program(String... shell) {
+    List<String> command = new ArrayList<>(List.of(shell));
+    command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-cp",
+        System.getProperty("java.class.path"), "pumicekeel.adapter.Main", "serve"));
+    ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+    builder.environment().keySet().removeIf(name -> name.startsWith("PROXY_"));
+    builder.environment().put("PROXY_CONFIG", folder.resolve("config.json").toString());
+    return builder;
+  }
+
+  private static InetSocketAddress servedAt(String line) {
+    return Configuration.address("log", line.substring(line.indexOf('/') + 1));
+  }
+
   private void start(String configuration, String... variable) throws Exception {
     Path file = folder.resolve("config.json");
     if (configuration != null) {
       Files.writeString(file, configuration);
     }
-    ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-        "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"), "pumicekeel.adapter.Main", "serve");
-    builder.environment().keySet().removeIf(name -> name.startsWith("PROXY_"));
-    builder.environment().put("PROXY_CONFIG", file.toString());
+    ProcessBuilder builder = program();
     for (int i = 0; i < variable.length; i += 2) {
       builder.environment().put(variable[i], variable[i + 1]);
     }
-    process = builder.redirectErrorStream(true).start();
+    process = builder.start();
     log = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
   }
 
   private InetSocketAddress address() throws Exception {
     for (String line = log.readLine(); line != null; line = log.readLine()) {
       if (line.contains(" serves at /")) {
-        return Configuration.address("log", line.substring(line.indexOf('/') + 1));
+        return servedAt(line);
       }
     }
     throw new AssertionError("the program did not start");
@@ -149,11 +161,8 @@
     try (FakeServer first = new FakeServer((r, c, out) -> {}); FakeServer second = new FakeServer((r, c, out) -> {});
         FakeServer third = new FakeServer((r, c, out) -> {})) {
       Path file = Files.writeString(folder.resolve("config.json"), TestNode.json(first.address(), 1));
-      ProcessBuilder builder = new ProcessBuilder("sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"",
-          Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-cp",
-          System.getProperty("java.class.path"), "pumicekeel.adapter.Main", "serve");
-      builder.environment().put("PROXY_CONFIG", file.toString());
-      process = builder.redirectErrorStream(true).start();
+      ProcessBuilder builder = program("sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"");
+      process = builder.start();
       log = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
       awaitLog("reload: started with SIGHUP ignored");
       address();
@@ -190,16 +199,13 @@
       });
     }
     try (FakeServer server = new FakeServer(watch)) {
-      Path file = Files.writeString(folder.resolve("config.json"), TestNode.json(server.address(), 1, upstreams)
+      Files.writeString(folder.resolve("config.json"), TestNode.json(server.address(), 1, upstreams)
           .replace("\"sockets\":1024", "\"sockets\":256"));
-      ProcessBuilder builder = new ProcessBuilder("sh", "-c", "ulimit -n 256; exec \"$0\" \"$@\"",
-          Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-cp",
-          System.getProperty("java.class.path"), "pumicekeel.adapter.Main", "serve");
-      builder.environment().put("PROXY_CONFIG", file.toString());
-      process = builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+      ProcessBuilder builder = program("sh", "-c", "ulimit -n 256; exec \"$0\" \"$@\"");
+      process = builder.redirectOutput(folder.resolve("log").toFile()).start();
       TestNode.until(() -> logged().contains(" serves at /"));
       String serving = logged().lines().filter(l -> l.contains(" serves at /")).findFirst().orElseThrow();
-      InetSocketAddress address = Configuration.address("log", serving.substring(serving.indexOf('/') + 1));
+      InetSocketAddress address = servedAt(serving);
       TestNode.until(() -> server.requests.size() == 1);
       List<TestClient> asking = new ArrayList<>();
       for (int i = 0; i < 102; i++) {
--- a/src/test/java/pumicekeel/node/TestNode.java
+++ b/src/test/java/pumicekeel/node/TestNode.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import pumicekeel.adapter.Decoder;
 import pumicekeel.adapter.Fields;
@@ -81,4 +82,13 @@
     }
     assertTrue(condition.getAsBoolean(), "a condition that was waited for");
   }
+
+  /** Waits on a loop's own thread, which a test has stopped so that it falls behind. */
+  static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
