--- a/review/standins/Upstream.java
+++ b/review/standins/Upstream.java
@@ -28,6 +28,17 @@
       answer(body.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Writes an answer 200 with no length, then ends the connection in order. */
+    void answerWithoutLength(String body) throws IOException {
+      byte[] answer =
+          ("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body)
+              .getBytes(StandardCharsets.UTF_8);
+      synchronized (socket) {
+        out.write(answer);
+        socket.shutdownOutput();
+      }
+    }
+
     void answer(byte[] body) throws IOException {
       byte[] head =
           ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes();
