Answer the readiness check only to GET /up that names no request

Cause: ClientConnection compared only the path before it answered. Mend: Readiness decides by method, body and headers. A request for this path is parsed like any other, so a class named "up" is served too. Kin: the warm-up's path is a random name that clients don't know, and is forgotten before the balancer serves.

--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -189,8 +189,9 @@
 
   private void handleCompleteRequest(HttpRequest head, byte[] body) {
     isKeepAlive = HttpUtil.isKeepAlive(head);
-    if (server.isReadinessPath(head.uri())) {
-      respond(ResponseFactory.readiness(server.isReadyFor(head.uri())));
+    Readiness readiness = server.readiness();
+    if (readiness.isCheck(head, body)) {
+      respond(ResponseFactory.readiness(readiness.isReadyFor(head.uri())));
       return;
     }
     try {
--- a/src/main/java/loadbalancer/proxy/downstream/DownstreamServer.java
+++ b/src/main/java/loadbalancer/proxy/downstream/DownstreamServer.java
@@ -18,8 +18,6 @@
  */
 public final class DownstreamServer {
 
-  private static final String READINESS_PATH = "/up";
-
   private final EventLoop loop;
   private final PolicySettings settings;
   private final ClientRequestParser requestParser;
@@ -27,14 +25,9 @@
   private final ConnectionTable connections;
   private final RequestMemoryPool requestMemory;
   private final ConnectionListener listener;
-
-  private boolean isWarmedUp;
-  private boolean isShuttingDown;
+  private final Readiness readiness = new Readiness();
   private boolean closesAfterResponse;
 
-  /** Null if there is no warm-up or it has ended. */
-  private String warmUpPath;
-
   /**
    * Creates a server, which accepts connections once {@link #listen} is called.
    *
@@ -61,7 +54,7 @@
    * until {@link #setReady} is called. Must be called before {@link #listen}.
    */
   public void setWarmUpPath(String path) {
-    warmUpPath = path;
+    readiness.setWarmUpPath(path);
   }
 
   /**
@@ -80,23 +73,12 @@
 
   /** Ends the warm-up: readiness checks succeed until a graceful shutdown begins. */
   public void setReady() {
-    isWarmedUp = true;
-    warmUpPath = null;
-  }
-
-  /** Returns whether the URI is the path of readiness checks or of the warm-up's requests. */
-  boolean isReadinessPath(String uri) {
-    return uri.equals(READINESS_PATH) || isWarmUpPath(uri);
-  }
-
-  /** Returns whether a request for the given readiness path gets status 200, otherwise 503. */
-  boolean isReadyFor(String uri) {
-    return isWarmUpPath(uri) || (isWarmedUp && !isShuttingDown);
+    readiness.setReady();
   }
 
-  /** Clients do not know this path, so they cannot get status 200 during the warm-up. */
-  private boolean isWarmUpPath(String uri) {
-    return uri.equals(warmUpPath);
+  /** Returns what decides on readiness checks. */
+  Readiness readiness() {
+    return readiness;
   }
 
   /** Returns the settings that requests are checked against. */
@@ -182,7 +164,7 @@
 
   /** Makes readiness checks fail; existing and new connections are served as before. */
   public void beginGracefulShutdown() {
-    isShuttingDown = true;
+    readiness.beginGracefulShutdown();
   }
 
   /** Closes the listening socket; open connections are still served. */
