Reject paths, queries, ids and keys that would not be forwarded byte for byte

Cause: the decoder makes one char of each byte, the encoder writes the request line in UTF-8; nothing checked the text. Kin: a folded request id or idempotency key arrived with its lines joined by a space. Mend: only visible ASCII characters are allowed there, as in RFC 3986; anything else gets 400. FakeHttpServer reads bytes instead of UTF-8, so that the test sees what was written.

--- a/src/main/java/loadbalancer/proxy/downstream/ClientRequestParser.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientRequestParser.java
@@ -30,6 +30,9 @@
    */
   private static final long MAX_EFFECTIVE_NUMBER = 1_000_000_000L;
 
+  private static final char MIN_VISIBLE_CHAR = '!';
+  private static final char MAX_VISIBLE_CHAR = '~';
+
   /**
    * Headers that may occur only once: if one were repeated, the proxy and an upstream could use
    * different values.
@@ -69,14 +72,14 @@
     HttpHeaders headers = head.headers();
     checkNonRepeatableHeaders(headers);
     RequestClass requestClass = requestClass(headers);
-    checkPath(head.uri(), requestClass);
+    checkTarget(head.uri(), requestClass);
     String tenant = tenant(headers);
     checkMethod(head.method(), requestClass);
     String idempotencyKey = idempotencyKey(headers, requestClass);
     long timeLeftNanos = timeLeftNanos(headers);
     long workHintNanos = workHintNanos(headers);
     return new ClientRequest(
-        required(headers, RequestHeaders.CORRELATION_ID),
+        requestId(headers),
         requestClass,
         tenant,
         AffinityKey.of(headers.get(RequestHeaders.SESSION_KEY)),
@@ -101,6 +104,12 @@
     }
   }
 
+  private static String requestId(HttpHeaders headers) throws InvalidRequestException {
+    String id = required(headers, RequestHeaders.CORRELATION_ID);
+    checkToken(RequestHeaders.CORRELATION_ID, id);
+    return id;
+  }
+
   private RequestClass requestClass(HttpHeaders headers) throws InvalidRequestException {
     String name = required(headers, RequestHeaders.SERVICE_CLASS);
     return settings.requestClasses().stream()
@@ -109,8 +118,11 @@
         .orElseThrow(() -> badRequest(RequestHeaders.SERVICE_CLASS + ": unknown request class"));
   }
 
-  private static void checkPath(String uri, RequestClass requestClass)
+  private static void checkTarget(String uri, RequestClass requestClass)
       throws InvalidRequestException {
+    if (!isVisibleAscii(uri)) {
+      throw badRequest("path and query: must consist of visible ASCII characters");
+    }
     String path = uri.split("\\?", 2)[0];
     String classPath = "/" + requestClass.name();
     if (!path.equals(classPath) && !path.startsWith(classPath + "/")) {
@@ -149,6 +161,9 @@
       throw badRequest(
           RequestHeaders.IDEMPOTENCY_KEY + ": required for request class " + requestClass.name());
     }
+    if (key != null) {
+      checkToken(RequestHeaders.IDEMPOTENCY_KEY, key);
+    }
     return key;
   }
 
@@ -170,6 +185,25 @@
     return value;
   }
 
+  /**
+   * Checks a header that is forwarded. The decoder joins the lines of a folded value by a space, so
+   * that the upstream would get a value that the client did not send.
+   */
+  private static void checkToken(String name, String value) throws InvalidRequestException {
+    if (!isVisibleAscii(value)) {
+      throw badRequest(name + ": must consist of visible ASCII characters");
+    }
+  }
+
+  /**
+   * Returns whether the text was received as visible ASCII characters only. Others would not be
+   * forwarded as received: the decoder makes a char of each byte, and the encoder of the request
+   * line writes chars above 0x7f as two bytes.
+   */
+  private static boolean isVisibleAscii(String text) {
+    return text.chars().allMatch(c -> c >= MIN_VISIBLE_CHAR && c <= MAX_VISIBLE_CHAR);
+  }
+
   private static long number(String name, String text) throws InvalidRequestException {
     try {
       long value = Long.parseLong(text);
--- a/src/test/java/loadbalancer/proxy/FakeHttpServer.java
+++ b/src/test/java/loadbalancer/proxy/FakeHttpServer.java
@@ -34,7 +34,7 @@
   /** Well below the time after which a watch without a heartbeat fails. */
   private static final long HEARTBEAT_MILLIS = 500;
 
-  /** The text of each received request, in the order of receipt. */
+  /** The text of each received request, one char for each byte, in the order of receipt. */
   public final List<String> requests = new CopyOnWriteArrayList<>();
 
   /** The accepted connections, in the order of acceptance; closed ones stay in the list. */
@@ -119,7 +119,7 @@
   private void serve(Socket connection) throws Exception {
     BufferedReader input =
         new BufferedReader(
-            new InputStreamReader(connection.getInputStream(), StandardCharsets.UTF_8));
+            new InputStreamReader(connection.getInputStream(), StandardCharsets.ISO_8859_1));
     try {
       for (String line = input.readLine(); line != null; line = input.readLine()) {
         StringBuilder request = new StringBuilder();
--- a/src/test/java/loadbalancer/proxy/TestClient.java
+++ b/src/test/java/loadbalancer/proxy/TestClient.java
@@ -36,7 +36,12 @@
 
   /** Sends the text as it is, which need not be a valid request. */
   TestClient send(String text) throws IOException {
-    socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    return send(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Sends the bytes as they are, which need not be a valid request. */
+  TestClient send(byte[] bytes) throws IOException {
+    socket.getOutputStream().write(bytes);
     return this;
   }
 
