Let the longest incomplete request give way at the limit of connections

Cause: at the limit the listener pauses, and only the first request of a connection had a shorter time then. Evidence: no peer was closed before 2.3 s, and the clients' requests ran some 60 ms after. Mend: at the limit each accepted connection makes an idle one or the longest incomplete request (100 ms at least) give way.

--- a/src/main/java/loadbalancer/proxy/downstream/ConnectionTable.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ConnectionTable.java
@@ -12,6 +12,12 @@
  */
 final class ConnectionTable {
 
+  /**
+   * An incomplete request that has been arriving for less time does not give way to a new
+   * connection. Short, because the client that waits for a place has a deadline.
+   */
+  private static final long MIN_EVICTION_AGE_NANOS = 100_000_000L;
+
   private final int maxConnections;
 
   /** Ordered by time of last response, least recent first; a new connection is added last. */
@@ -72,8 +78,30 @@
         .max(Comparator.comparingLong(connection -> connection.receivingNanos(nowNanos)));
   }
 
-  /** Returns the connection that has been idle for the longest time since a response, if any. */
-  Optional<ClientConnection> leastRecentlyUsedIdle() {
+  /**
+   * Makes room for the next client: closes the connection that has been idle for the longest time
+   * since a response or, if there is none, responds 408 to the incomplete request that has been
+   * arriving longest. Returns false if all incomplete requests are recent.
+   */
+  boolean evictOne() {
+    Optional<ClientConnection> idle = leastRecentlyUsedIdle();
+    if (idle.isPresent()) {
+      idle.get().closeAfterWrites();
+      return true;
+    }
+    Optional<ClientConnection> stalled = longestStalled();
+    stalled.ifPresent(ClientConnection::rejectIncompleteRequest);
+    return stalled.isPresent();
+  }
+
+  private Optional<ClientConnection> leastRecentlyUsedIdle() {
     return connections.stream().filter(ClientConnection::isIdleAfterResponse).findFirst();
   }
+
+  private Optional<ClientConnection> longestStalled() {
+    long nowNanos = System.nanoTime();
+    return connections.stream()
+        .filter(connection -> connection.receivingNanos(nowNanos) >= MIN_EVICTION_AGE_NANOS)
+        .max(Comparator.comparingLong(connection -> connection.receivingNanos(nowNanos)));
+  }
 }
--- a/src/main/java/loadbalancer/proxy/downstream/ConnectionTimeouts.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ConnectionTimeouts.java
@@ -67,7 +67,7 @@
     }
     if (connections.isFull()) {
       // Makes room for the next client even if every connection is within its time limits.
-      connections.leastRecentlyUsedIdle().ifPresent(ClientConnection::closeAfterWrites);
+      connections.evictOne();
     }
   }
 
--- a/src/main/java/loadbalancer/proxy/downstream/DownstreamServer.java
+++ b/src/main/java/loadbalancer/proxy/downstream/DownstreamServer.java
@@ -107,16 +107,14 @@
   }
 
   /**
-   * Adds a connection. If the limit is reached, closes the least recently used idle connection, so
-   * that the next client or readiness check need not wait for a sweep of {@link
-   * ConnectionTimeouts}. If no connection is idle, pauses accepting until one closes.
+   * Adds a connection. If the limit is reached, another one has to give way, so that the next
+   * client or readiness check need not wait for a sweep of {@link ConnectionTimeouts}. If none can,
+   * pauses accepting until one closes.
    */
   private void connectionOpened(ClientConnection connection) {
     connections.add(connection);
-    if (connections.isFull()) {
-      connections
-          .leastRecentlyUsedIdle()
-          .ifPresentOrElse(ClientConnection::closeAfterWrites, listener::pauseAccepting);
+    if (connections.isFull() && !connections.evictOne()) {
+      listener.pauseAccepting();
     }
   }
 
