Close connections whose client reads no response, however small it is

Seen by reading (open item of README): the limit for a client that doesn't read began only when the write buffer was full (64 KiB), so a smaller response that waits, and a close behind it, kept a place for good; such a connection also counted as closed to make room. Mend: ResponseWriter measures since when a write has been pending, and an idle connection with pending writes is not one to evict.

--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -1,14 +1,9 @@
 package loadbalancer.proxy.downstream;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -37,6 +32,7 @@
   private final RequestAssembler assembler;
   private ChannelHandlerContext context;
   private ReadControl readControl;
+  private ResponseWriter writer;
   private ConnectionState state = ConnectionState.AWAITING_REQUEST;
 
   /** The id of the request in flight; stale or null if there is none. */
@@ -54,9 +50,12 @@
   @Override
   public void handlerAdded(ChannelHandlerContext handlerContext) {
     context = handlerContext;
+    writer = new ResponseWriter(handlerContext);
     readControl =
         new ReadControl(
-            handlerContext.channel(), handlerContext.pipeline().get(RequestDecoder.class));
+            handlerContext.channel(),
+            handlerContext.pipeline().get(RequestDecoder.class),
+            () -> state);
   }
 
   /** Returns whether the connection awaits a request, no byte of which has been received. */
@@ -74,9 +73,9 @@
     return isAwaitingRequest() && !times.hasResponded();
   }
 
-  /** Returns whether the connection is idle and at least one response has been written to it. */
+  /** Returns whether the connection is idle and its client has been sent at least one response. */
   boolean isIdleAfterResponse() {
-    return isIdle() && times.hasResponded();
+    return isIdle() && times.hasResponded() && !writer.hasPendingWrites();
   }
 
   /** Returns the timestamps from which the time limits are computed. */
@@ -104,16 +103,16 @@
     return assembler.memory();
   }
 
-  /** Closes the connection immediately; pending writes are dropped. */
-  void abort() {
-    context.close();
+  /** Returns what writes the responses and closes the connection. */
+  ResponseWriter writer() {
+    return writer;
   }
 
   /** Closes the connection after all pending writes, so that no response is truncated. */
   void closeAfterWrites() {
     // Leaves the idle state, so that the connection is not selected for closing a second time.
     state = state.discardingInput();
-    context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    writer.closeAfterWrites();
   }
 
   /**
@@ -152,7 +151,7 @@
       // The return value reports the disconnect. channelInactive would report it too late: another
       // connection may have submitted a request with the same id by then.
       state = state.afterRequest();
-      abort();
+      writer.abort();
     }
     return state.hasRequestInFlight();
   }
@@ -198,19 +197,18 @@
 
   private void handleCompleteRequest(HttpRequest head, byte[] body) {
     isKeepAlive = HttpUtil.isKeepAlive(head);
-    Readiness readiness = server.readiness();
-    if (readiness.isCheck(head, body)) {
-      respond(ResponseFactory.readiness(readiness.isReadyFor(head.uri())));
+    if (server.readiness().isCheck(head, body)) {
+      respond(ResponseFactory.readiness(server.readiness().isReadyFor(head.uri())));
       return;
     }
     try {
       ClientRequest request = server.requestParser().parse(head, body);
       submit(request.afterWaiting(times.sinceLastReadNanos()));
-      updateAutoRead();
+      readControl.update();
     } catch (InvalidRequestException e) {
       respond(ResponseFactory.invalidRequest(e, head.method()));
-      readControl.startPenalty(this::continueReading);
-      updateAutoRead();
+      readControl.startPenalty();
+      readControl.update();
     }
   }
 
@@ -239,27 +237,12 @@
     }
   }
 
-  private void updateAutoRead() {
-    readControl.update(state);
-  }
-
-  /** Decodes the next request if it has been received already, and reads again where possible. */
-  private void continueReading() {
-    try {
-      readControl.decodeNext(state);
-    } catch (Exception e) {
-      exceptionCaught(context, e);
-    }
-    updateAutoRead();
-  }
-
   /** Stops receiving requests from a client that does not read its responses. */
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
-    times.writabilityChanged(handlerContext.channel().isWritable());
     // Not at once: a flush inside of decoding may have made the channel writable.
-    context.channel().eventLoop().execute(this::continueReading);
-    updateAutoRead();
+    context.channel().eventLoop().execute(readControl::resume);
+    readControl.update();
   }
 
   @Override
@@ -281,18 +264,14 @@
     state = state.afterRequest();
     times.responseWritten();
     memory().release();
-    boolean isLast = !isKeepAlive || server.closesAfterResponse();
-    if (isLast) {
-      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    }
-    ChannelFuture written = context.writeAndFlush(response);
-    if (isLast) {
+    if (!isKeepAlive || server.closesAfterResponse()) {
+      writer.writeLast(response);
       state = state.discardingInput();
-      written.addListener(ChannelFutureListener.CLOSE);
     } else {
-      readControl.endTurn(this::continueReading);
+      writer.write(response);
+      readControl.endTurn();
     }
-    updateAutoRead();
+    readControl.update();
     server.responseWritten(this);
   }
 
--- a/src/main/java/loadbalancer/proxy/downstream/ConnectionTimeouts.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ConnectionTimeouts.java
@@ -43,7 +43,7 @@
   private static final double HIGH_USAGE_FRACTION = 0.5;
 
   /** The limit for a client that does not read the data written to it. */
-  private static final long MAX_WRITE_STALL_NANOS = 5_000 * NANOS_PER_MILLI;
+  private static final long MAX_WRITE_PENDING_NANOS = 5_000 * NANOS_PER_MILLI;
 
   private final EventLoop loop;
   private final ConnectionTable connections;
@@ -72,8 +72,8 @@
   }
 
   private void enforceLimits(ClientConnection connection, long nowNanos) {
-    if (connection.times().writeStalledNanos(nowNanos) > MAX_WRITE_STALL_NANOS) {
-      connection.abort();
+    if (connection.writer().pendingNanos(nowNanos) > MAX_WRITE_PENDING_NANOS) {
+      connection.writer().abort();
     } else if (connection.receivingNanos(nowNanos) > maxReceivingNanos(connection)) {
       connection.rejectIncompleteRequest();
     } else if (connection.isIdle()
--- a/src/main/java/loadbalancer/proxy/downstream/ConnectionTimes.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ConnectionTimes.java
@@ -18,8 +18,6 @@
   /** When the first byte of the current request arrived, which may still be incomplete. */
   private long requestStartedAtNanos = NEVER;
 
-  private long writeStalledSinceNanos = NEVER;
-
   /** Records bytes that were read from the socket. */
   void bytesRead() {
     lastReadAtNanos = System.nanoTime();
@@ -43,11 +41,6 @@
     lastResponseAtNanos = System.nanoTime();
   }
 
-  /** Records that the channel has become writable or unwritable. */
-  void writabilityChanged(boolean isWritable) {
-    writeStalledSinceNanos = isWritable ? NEVER : System.nanoTime();
-  }
-
   /** Returns whether at least one byte of a request without a response has been received. */
   boolean hasRequestStarted() {
     return requestStartedAtNanos != NEVER;
@@ -73,9 +66,4 @@
     }
     return nowNanos - (hasResponded() ? requestStartedAtNanos : openedAtNanos);
   }
-
-  /** Returns the nanoseconds since the channel became unwritable; 0 while it is writable. */
-  long writeStalledNanos(long nowNanos) {
-    return writeStalledSinceNanos == NEVER ? 0 : nowNanos - writeStalledSinceNanos;
-  }
 }
--- a/src/main/java/loadbalancer/proxy/downstream/ReadControl.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ReadControl.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Decides when the event loop reads from one connection and decodes what it has read. Not
@@ -17,64 +18,63 @@
 
   private final Channel channel;
   private final RequestDecoder decoder;
+  private final Supplier<ConnectionState> state;
   private int pauses;
 
-  /** Creates the control of a connection; the decoder is in its pipeline. */
-  ReadControl(Channel channel, RequestDecoder decoder) {
+  /** Creates the control of a connection, whose pipeline contains the decoder. */
+  ReadControl(Channel channel, RequestDecoder decoder, Supplier<ConnectionState> state) {
     this.channel = channel;
     this.decoder = decoder;
+    this.state = state;
   }
 
   /**
    * Enables reading while a request may be received. While a request is in flight, the connection
    * is always read, because a client's disconnect is detected only by reading.
    */
-  void update(ConnectionState state) {
-    channel.config().setAutoRead(state.hasRequestInFlight() || mayReceive(state));
+  void update() {
+    channel.config().setAutoRead(state.get().hasRequestInFlight() || mayReceive());
   }
 
-  private boolean mayReceive(ConnectionState state) {
-    return state == ConnectionState.AWAITING_REQUEST && pauses == 0 && channel.isWritable();
-  }
-
-  /** Decodes the next request, if one was received before a pause that is over now. */
-  void decodeNext(ConnectionState state) throws Exception {
-    if (mayReceive(state) && channel.isActive()) {
-      decoder.resume();
-    }
+  private boolean mayReceive() {
+    return state.get() == ConnectionState.AWAITING_REQUEST && pauses == 0 && channel.isWritable();
   }
 
   /**
    * Ends the connection's turn after a response, if the bytes of further requests have been
    * received with the request. Otherwise a client that sends small requests at full speed would
    * occupy the event loop with hundreds of them in each turn.
-   *
-   * @param onEnd called when the next request may be decoded
    */
-  void endTurn(Runnable onEnd) {
+  void endTurn() {
     if (decoder.hasUndecodedBytes()) {
       decoder.pause();
-      pause(NEXT_REQUEST_DELAY_MILLIS, onEnd);
+      pause(NEXT_REQUEST_DELAY_MILLIS);
     }
   }
 
   /**
    * Pauses reading after an invalid request, from the next {@link #update} on. The connection stays
    * open, because the client could reconnect immediately if it were closed.
-   *
-   * @param onEnd called when the pause ends
    */
-  void startPenalty(Runnable onEnd) {
-    pause(PENALTY_MILLIS, onEnd);
+  void startPenalty() {
+    pause(PENALTY_MILLIS);
   }
 
-  private void pause(long millis, Runnable onEnd) {
+  private void pause(long millis) {
     pauses++;
-    Runnable end =
-        () -> {
-          pauses--;
-          onEnd.run();
-        };
-    channel.eventLoop().schedule(end, millis, TimeUnit.MILLISECONDS);
+    channel.eventLoop().schedule(this::endPause, millis, TimeUnit.MILLISECONDS);
+  }
+
+  private void endPause() {
+    pauses--;
+    resume();
+  }
+
+  /** Decodes the next request if it has been received already, and reads again where possible. */
+  void resume() {
+    if (mayReceive() && channel.isActive()) {
+      decoder.resume();
+    }
+    update();
   }
 }
--- a/src/main/java/loadbalancer/proxy/downstream/RequestDecoder.java
+++ b/src/main/java/loadbalancer/proxy/downstream/RequestDecoder.java
@@ -64,15 +64,13 @@
   }
 
   /** Decodes the bytes that were kept since {@link #pause}; does nothing if it is not paused. */
-  void resume() throws Exception {
+  void resume() {
     if (!isPaused) {
       return;
     }
     isPaused = false;
-    if (hasUndecodedBytes()) {
-      channelRead(context, Unpooled.EMPTY_BUFFER);
-      channelReadComplete(context);
-    }
+    context.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+    context.pipeline().fireChannelReadComplete();
   }
 
   /** Decodes nothing more for a client that has disconnected, so that no request is submitted. */
