Bound the decoding of a connection's turn, and accept up to 16 connections a turn

Seen (trial, 440 peers that send chunks of one byte, 10 s): the median of 20 other clients rises from 21 to 232 ms, and peers are answered up to 11.7 s after their connect instead of within 3 s. Evidence: strace shows one accept in each turn, a turn takes 75 to 105 ms with some 40 such connections; stacks show the chunk decoder. Cause: 8 KiB hold 1,365 chunks, 2.4 ms of work; and one accept a turn. Mend: 64 parts of messages a turn, then the same pause as between requests; accepts are limited by the free places, 16 a turn. FairTurnTest; the limits on connections hold as before (ClientConnectionLimitsTest, ConnectionCrowdTest).

--- a/src/main/java/loadbalancer/proxy/downstream/ConnectionListener.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ConnectionListener.java
@@ -6,8 +6,10 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import loadbalancer.proxy.transport.DirectReadServerSocketChannel;
 
 /**
@@ -28,19 +30,26 @@
   private static final int MAX_READS_PER_TURN = 2;
 
   /**
-   * One connection at a time, so that each is counted before the next is accepted and the
-   * connection limit is never exceeded.
+   * More than one, so that new connections need not wait for as many turns as there are others
+   * before them; few, so that a burst of them delays the open connections little.
    */
-  private static final int MAX_ACCEPTS_PER_TURN = 1;
+  private static final int MAX_ACCEPTS_PER_TURN = 16;
 
   private final EventLoop loop;
+  private final IntSupplier freePlaces;
 
   /** Null until bound. */
   private Channel channel;
 
-  /** Creates a listener; the given loop accepts its connections and serves them. */
-  ConnectionListener(EventLoop loop) {
+  /**
+   * Creates a listener.
+   *
+   * @param loop accepts the connections and serves them
+   * @param freePlaces the number of connections that may be accepted, called on the event loop
+   */
+  ConnectionListener(EventLoop loop, IntSupplier freePlaces) {
     this.loop = loop;
+    this.freePlaces = freePlaces;
   }
 
   /**
@@ -58,12 +67,12 @@
     channel =
         new ServerBootstrap()
             .group(loop, loop)
-            .channelFactory(DirectReadServerSocketChannel::new)
+            .channelFactory(() -> new DirectReadServerSocketChannel(freePlaces))
             .option(ChannelOption.SO_BACKLOG, BACKLOG_CONNECTIONS)
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(
                 ChannelOption.RECVBUF_ALLOCATOR,
-                new FixedRecvByteBufAllocator(1).maxMessagesPerRead(MAX_ACCEPTS_PER_TURN))
+                new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_TURN))
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(
                 ChannelOption.RECVBUF_ALLOCATOR,
--- a/src/main/java/loadbalancer/proxy/downstream/ConnectionTable.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ConnectionTable.java
@@ -50,6 +50,11 @@
     return connections.size();
   }
 
+  /** Returns how many connections can be added until the limit is reached. */
+  int freePlaces() {
+    return Math.max(0, maxConnections - connections.size());
+  }
+
   /** Returns whether the limit is reached. */
   boolean isFull() {
     return connections.size() >= maxConnections;
--- a/src/main/java/loadbalancer/proxy/downstream/DownstreamServer.java
+++ b/src/main/java/loadbalancer/proxy/downstream/DownstreamServer.java
@@ -44,7 +44,7 @@
     requestParser = new ClientRequestParser(settings);
     connections = new ConnectionTable(maxConnections);
     requestMemory = new RequestMemoryPool(connections);
-    listener = new ConnectionListener(loop);
+    listener = new ConnectionListener(loop, connections::freePlaces);
   }
 
   // ---- Listening and readiness
--- a/src/main/java/loadbalancer/proxy/downstream/ReadControl.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ReadControl.java
@@ -13,8 +13,8 @@
   /** Limits the rate at which a client can repeat an invalid request. */
   private static final long PENALTY_MILLIS = 500;
 
-  /** The pause between requests that were received together, in which other clients are served. */
-  private static final long NEXT_REQUEST_DELAY_MILLIS = 1;
+  /** The pause between two turns of decoding what was received together. */
+  private static final long NEXT_TURN_DELAY_MILLIS = 1;
 
   private final Channel channel;
   private final RequestDecoder decoder;
@@ -26,6 +26,7 @@
     this.channel = channel;
     this.decoder = decoder;
     this.state = state;
+    decoder.setTurnListener(this::decodingTurnEnded);
   }
 
   /**
@@ -41,17 +42,22 @@
   }
 
   /**
-   * Ends the connection's turn after a response, if the bytes of further requests have been
-   * received with the request. Otherwise a client that sends small requests at full speed would
-   * occupy the event loop with hundreds of them in each turn.
+   * Ends the connection's turn of decoding, if more bytes have been received. Otherwise a client
+   * that sends small requests or chunks at full speed would occupy the event loop with hundreds of
+   * them in each turn.
    */
   void endTurn() {
     if (decoder.hasUndecodedBytes()) {
       decoder.pause();
-      pause(NEXT_REQUEST_DELAY_MILLIS);
+      pause(NEXT_TURN_DELAY_MILLIS);
     }
   }
 
+  private void decodingTurnEnded() {
+    endTurn();
+    update();
+  }
+
   /**
    * Pauses reading after an invalid request, from the next {@link #update} on. The connection stays
    * open, because the client could reconnect immediately if it were closed.
--- a/src/main/java/loadbalancer/proxy/downstream/RequestDecoder.java
+++ b/src/main/java/loadbalancer/proxy/downstream/RequestDecoder.java
@@ -37,8 +37,16 @@
               HttpHeaderNames.CONNECTION,
               HttpHeaderNames.EXPECT));
 
+  /**
+   * The most parts of messages (heads, chunks) that are decoded in one turn of the event loop. A
+   * read of the smallest possible chunks has over a thousand, which would take milliseconds.
+   */
+  private static final int MAX_PARTS_PER_TURN = 64;
+
   private final RawBytesFilter filter;
   private ChannelHandlerContext context;
+  private Runnable turnListener = () -> {};
+  private int partsInTurn;
   private boolean isPaused;
 
   /** Creates the decoder of one connection, whose filter sees all bytes before they are decoded. */
@@ -53,6 +61,14 @@
     context = handlerContext;
   }
 
+  /**
+   * Sets what is called when the connection has had its turn of decoding; it has to call {@link
+   * #pause}, and {@link #resume} later.
+   */
+  void setTurnListener(Runnable listener) {
+    turnListener = listener;
+  }
+
   /** Returns whether received bytes are buffered that have not been decoded. */
   boolean hasUndecodedBytes() {
     return actualReadableBytes() > 0;
@@ -77,9 +93,21 @@
   @Override
   protected void decode(ChannelHandlerContext handlerContext, ByteBuf buffer, List<Object> out)
       throws Exception {
-    if (!isPaused && handlerContext.channel().isActive()) {
-      super.decode(handlerContext, buffer, out);
+    if (isPaused || !handlerContext.channel().isActive()) {
+      return;
     }
+    if (partsInTurn >= MAX_PARTS_PER_TURN) {
+      turnListener.run();
+      return;
+    }
+    partsInTurn++;
+    super.decode(handlerContext, buffer, out);
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext handlerContext) throws Exception {
+    partsInTurn = 0;
+    super.channelReadComplete(handlerContext);
   }
 
   @Override
--- a/src/test/java/loadbalancer/proxy/FairTurnTest.java
+++ b/src/test/java/loadbalancer/proxy/FairTurnTest.java
@@ -22,6 +22,7 @@
 
   private static final int REQUESTS = 300;
   private static final int REQUESTS_IN_ONE_READ = 100;
+  private static final int CHUNKS = 2_000;
 
   /** The pause between two requests that were sent together. */
   private static final int PAUSE_MILLIS = 1;
@@ -79,6 +80,37 @@
     }
   }
 
+  /** Guards against a body of very small chunks, which took milliseconds of a turn. */
+  @Test
+  void smallChunksAreDecodedInManyTurnsAndTheRequestIsServed() throws Exception {
+    String head =
+        TestClient.keyedRequest("1", TIME_LEFT_MILLIS)
+            .replace("Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n");
+    String chunks = "1\r\nx\r\n".repeat(CHUNKS);
+    try (FakeHttpServer upstream = FakeHttpServer.respondingWith("fine")) {
+      TestDownstreamServer server = new TestDownstreamServer(loop, event -> {}, upstream);
+      assertTrue(server.onLoop(() -> turnsUntilDecoded(server, head + chunks)) > CHUNKS / 100);
+      try (TestClient client = new TestClient(server.address)) {
+        assertEquals("fine", client.exchange(head + chunks + "0\r\n\r\n").body());
+        assertTrue(upstream.requests.get(0).endsWith("\n\n" + "x".repeat(CHUNKS)));
+      }
+    }
+  }
+
+  /** Returns after how many pauses of the decoder a client's bytes are decoded completely. */
+  private static int turnsUntilDecoded(TestDownstreamServer server, String bytes) {
+    EmbeddedChannel client = server.embeddedClient();
+    client.freezeTime();
+    client.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
+    int turns = 0;
+    while (client.runScheduledPendingTasks() >= 0) {
+      client.advanceTimeBy(PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+      turns++;
+    }
+    client.close();
+    return turns;
+  }
+
   /** Guards against a request that is forwarded with time that has passed while it waited here. */
   @Test
   void requestThatWaitedForItsTurnIsForwardedWithTheTimeThatIsLeft() throws Exception {
