Keep all buffers in the heap, where their memory is bounded

Cause: read buffers of up to 64 KiB, the copy that joins two reads and the copy of each response for its write lay in 16 MB of direct memory that nothing counted; a response whose write failed left its connection open. Mend: heap buffers; unread responses share an eighth of the heap, beyond which the connection that waits longest is closed; a failed write closes; a turn reads 80 KiB of an upstream instead of 1 MiB.

--- a/src/main/java/loadbalancer/proxy/discovery/EndpointListWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/EndpointListWatch.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import loadbalancer.config.EndpointList;
 import loadbalancer.proxy.telemetry.EventLog;
+import loadbalancer.proxy.transport.HeapBuffers;
 
 /**
  * One watch of the endpoint list, as a state machine: opens a connection, sends a request and
@@ -95,6 +96,7 @@
             .channelFactory(channelFactory)
             // The deadlines of the watch limit the connect too.
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 0)
+            .option(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
             .option(ChannelOption.RECVBUF_ALLOCATOR, READ_BUFFERS)
             .handler(
                 new ChannelInitializer<Channel>() {
--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -50,7 +50,7 @@
   @Override
   public void handlerAdded(ChannelHandlerContext handlerContext) {
     context = handlerContext;
-    writer = new ResponseWriter(handlerContext);
+    writer = new ResponseWriter(handlerContext, server.responseMemory());
     readControl =
         new ReadControl(
             handlerContext.channel(),
--- a/src/main/java/loadbalancer/proxy/downstream/ConnectionListener.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ConnectionListener.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import loadbalancer.proxy.transport.DirectReadServerSocketChannel;
+import loadbalancer.proxy.transport.HeapBuffers;
 
 /**
  * The listening socket for client connections; accepting can be paused and resumed. Not
@@ -74,6 +75,7 @@
                 ChannelOption.RECVBUF_ALLOCATOR,
                 new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_TURN))
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
             .childOption(
                 ChannelOption.RECVBUF_ALLOCATOR,
                 new FixedRecvByteBufAllocator(READ_BYTES).maxMessagesPerRead(MAX_READS_PER_TURN))
--- a/src/main/java/loadbalancer/proxy/downstream/ConnectionTable.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ConnectionTable.java
@@ -83,6 +83,14 @@
         .max(Comparator.comparingLong(connection -> connection.receivingNanos(nowNanos)));
   }
 
+  /** Returns the connection whose responses have been waiting longest for its client, if any. */
+  Optional<ClientConnection> longestPending() {
+    long nowNanos = System.nanoTime();
+    return connections.stream()
+        .filter(connection -> connection.writer().hasPendingWrites())
+        .max(Comparator.comparingLong(connection -> connection.writer().pendingNanos(nowNanos)));
+  }
+
   /**
    * Makes room for the next client: closes the connection that has been idle for the longest time
    * since a response or, if there is none, responds 408 to the incomplete request that has been
--- a/src/main/java/loadbalancer/proxy/downstream/DownstreamServer.java
+++ b/src/main/java/loadbalancer/proxy/downstream/DownstreamServer.java
@@ -24,6 +24,7 @@
   private final RequestCoordinator coordinator;
   private final ConnectionTable connections;
   private final RequestMemoryPool requestMemory;
+  private final ResponseMemoryPool responseMemory;
   private final ConnectionListener listener;
   private final Readiness readiness = new Readiness();
   private boolean closesAfterResponse;
@@ -44,6 +45,7 @@
     requestParser = new ClientRequestParser(settings);
     connections = new ConnectionTable(maxConnections);
     requestMemory = new RequestMemoryPool(connections);
+    responseMemory = new ResponseMemoryPool(connections);
     listener = new ConnectionListener(loop, connections::freePlaces);
   }
 
@@ -143,6 +145,11 @@
     return new RequestMemory(requestMemory);
   }
 
+  /** Returns the memory of the responses that clients do not read. */
+  ResponseMemoryPool responseMemory() {
+    return responseMemory;
+  }
+
   /**
    * Submits a request; returns false if a request with the same id is in flight or may have run.
    *
--- a/src/main/java/loadbalancer/proxy/downstream/ResponseWriter.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ResponseWriter.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.util.concurrent.Future;
+import loadbalancer.proxy.http.MemoryBudget;
 
 /**
  * Writes the responses of one connection and closes it. Not thread-safe: for use on the event loop.
@@ -15,32 +16,43 @@
 final class ResponseWriter {
 
   private final ChannelHandlerContext context;
+  private final ResponseMemoryPool memoryPool;
+  private final MemoryBudget.Reservation memory;
   private int pendingWrites;
   private long pendingSinceNanos;
 
-  /** Creates a writer; responses pass through the outbound handlers before this context. */
-  ResponseWriter(ChannelHandlerContext context) {
+  /**
+   * Creates a writer.
+   *
+   * @param context the responses pass through the outbound handlers before it
+   * @param memoryPool the memory of responses that the clients do not read
+   */
+  ResponseWriter(ChannelHandlerContext context, ResponseMemoryPool memoryPool) {
     this.context = context;
+    this.memoryPool = memoryPool;
+    memory = memoryPool.newReservation();
   }
 
   /** Writes a response, after which the connection stays open. */
   void write(FullHttpResponse response) {
-    track(context.writeAndFlush(response));
+    int bytes = response.content().readableBytes();
+    track(context.writeAndFlush(response), bytes);
   }
 
   /** Writes the last response, and closes the connection after it. */
   void writeLast(FullHttpResponse response) {
     response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    closeAfter(context.writeAndFlush(response));
+    int bytes = response.content().readableBytes();
+    closeAfter(context.writeAndFlush(response), bytes);
   }
 
   /** Closes the connection after all pending writes, so that no response is truncated. */
   void closeAfterWrites() {
-    closeAfter(context.writeAndFlush(Unpooled.EMPTY_BUFFER));
+    closeAfter(context.writeAndFlush(Unpooled.EMPTY_BUFFER), 0);
   }
 
-  private void closeAfter(ChannelFuture write) {
-    track(write);
+  private void closeAfter(ChannelFuture write, int bytes) {
+    track(write, bytes);
     write.addListener(ChannelFutureListener.CLOSE);
   }
 
@@ -61,7 +73,9 @@
     return hasPendingWrites() ? nowNanos - pendingSinceNanos : 0;
   }
 
-  private void track(ChannelFuture write) {
+  /** A response whose writing has failed can never be completed, so its connection is closed. */
+  private void track(ChannelFuture write, int bytes) {
+    write.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
     if (write.isDone()) {
       return;
     }
@@ -70,9 +84,19 @@
     }
     pendingWrites++;
     write.addListener(this::writeCompleted);
+    if (!memoryPool.add(memory, bytes)) {
+      abort();
+    }
+    if (!hasPendingWrites()) {
+      // The pool or the line above has closed this connection.
+      memory.release();
+    }
   }
 
   private void writeCompleted(Future<? super Void> write) {
     pendingWrites--;
+    if (pendingWrites == 0) {
+      memory.release();
+    }
   }
 }
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPools.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPools.java
@@ -1,6 +1,7 @@
 package loadbalancer.proxy.upstream;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
@@ -17,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.http.MemoryBudget;
 import loadbalancer.proxy.transport.DirectReadSocketChannel;
+import loadbalancer.proxy.transport.HeapBuffers;
 
 /**
  * The connection pools of all upstreams. Opens connections within one common limit and closes those
@@ -36,6 +38,16 @@
   private static final long MIN_SWEEP_PERIOD_NANOS = 1_000_000L;
   private static final long MIN_CONNECT_TIMEOUT_MILLIS = 1;
 
+  /**
+   * The smallest, first and largest buffer for a read. One turn of the event loop reads at most a
+   * response of the maximum length.
+   */
+  private static final int MIN_READ_BYTES = 512;
+
+  private static final int INITIAL_READ_BYTES = 2048;
+  private static final int MAX_READ_BYTES = 16 << 10;
+  private static final int MAX_READS_PER_TURN = 5;
+
   /** Fraction of the heap available to the bodies of responses that are being received. */
   private static final double RESPONSE_HEAP_FRACTION = 0.125;
 
@@ -77,6 +89,11 @@
             .group(eventLoop)
             .channelFactory(channelFactory)
             .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                    .maxMessagesPerRead(MAX_READS_PER_TURN))
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectTimeoutMillis);
     long periodNanos = Math.max(MIN_SWEEP_PERIOD_NANOS, maxIdleNanos / SWEEPS_PER_IDLE_TIMEOUT);
     idleSweep =
--- a/src/test/java/loadbalancer/proxy/ProcessMemoryTest.java
+++ b/src/test/java/loadbalancer/proxy/ProcessMemoryTest.java
@@ -34,6 +34,17 @@
   private static final long CLIENT_PERIOD_MILLIS = 10;
   private static final long UPSTREAM_HANGS_MILLIS = 1_000;
 
+  /** Under a third of the descriptors. */
+  private static final int CLIENTS = 330;
+
+  private static final int ROUNDS = 3;
+  private static final int LONG_RESPONSE_BYTES = 60_000;
+
+  /** The first piece of a response ends inside its head. */
+  private static final int FIRST_PIECE_BYTES = 30;
+
+  private static final long PIECE_DELAY_MILLIS = 250;
+
   /** Served, or rejected before anything was forwarded. */
   private static final Set<Integer> ANSWERS_WITHOUT_FAILURE = Set.of(200, 429, 503);
 
@@ -133,6 +144,42 @@
     }
   }
 
+  /** Guards against responses in pieces that use up memory and leave requests without an answer. */
+  @Test
+  void longResponsesInPiecesAreAllDelivered() throws Exception {
+    String response = FakeHttpServer.okResponse("x".repeat(LONG_RESPONSE_BYTES));
+    try (FakeHttpServer upstream =
+        new FakeHttpServer(
+            (request, connection, output) -> {
+              FakeHttpServer.write(output, response.substring(0, FIRST_PIECE_BYTES));
+              Thread.sleep(PIECE_DELAY_MILLIS);
+              FakeHttpServer.write(output, response.substring(FIRST_PIECE_BYTES));
+            })) {
+      InetSocketAddress address = startAsDeployed(upstream);
+      List<TestClient> clients = new ArrayList<>();
+      try {
+        for (int i = 0; i < CLIENTS; i++) {
+          clients.add(new TestClient(address));
+        }
+        for (int round = 0; round < ROUNDS; round++) {
+          for (int i = 0; i < CLIENTS; i++) {
+            clients.get(i).send(TestClient.idempotentRequest(round + "-" + i, 15_000, ""));
+          }
+          for (TestClient client : clients) {
+            int status = client.readResponse().status();
+            assertTrue(ANSWERS_WITHOUT_FAILURE.contains(status), "status " + status);
+          }
+        }
+      } finally {
+        for (TestClient client : clients) {
+          client.close();
+        }
+      }
+      assertFalse(program.logFileText().contains("direct buffer memory"), program.logFileText());
+      assertServingWithoutMemoryError(address);
+    }
+  }
+
   private static String longRequest(int id) {
     return TestClient.keyedRequest("long" + id, 15_000)
             .replace("Length: 4", "Length: " + UpstreamResponse.MAX_BODY_BYTES)
