--- a/src/main/java/loadbalancer/proxy/downstream/ConnectionTable.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ConnectionTable.java
@@ -92,29 +92,36 @@
   }
 
   /**
-   * Makes room for the next client: closes the connection that has been idle for the longest time
-   * since a response or, if there is none, responds 408 to the incomplete request that has been
-   * arriving longest. Returns false if all incomplete requests are recent.
+   * Makes room for the next client by the connection that has made no progress for the longest
+   * time: closes it if it is idle after a response, responds 408 if its request is incomplete.
+   * Returns false if there is none, or only requests that have begun to arrive recently.
    */
   boolean evictOne() {
-    Optional<ClientConnection> idle = leastRecentlyUsedIdle();
-    if (idle.isPresent()) {
-      idle.get().closeAfterWrites();
-      return true;
-    }
-    Optional<ClientConnection> stalled = longestStalled();
-    stalled.ifPresent(ClientConnection::rejectIncompleteRequest);
-    return stalled.isPresent();
+    long nowNanos = System.nanoTime();
+    Optional<ClientConnection> longest =
+        connections.stream()
+            .filter(connection -> isEvictable(connection, nowNanos))
+            .max(Comparator.comparingLong(connection -> waitingNanos(connection, nowNanos)));
+    longest.ifPresent(ConnectionTable::evict);
+    return longest.isPresent();
   }
 
-  private Optional<ClientConnection> leastRecentlyUsedIdle() {
-    return connections.stream().filter(ClientConnection::isIdleAfterResponse).findFirst();
+  private static boolean isEvictable(ClientConnection connection, long nowNanos) {
+    return connection.isIdleAfterResponse()
+        || connection.receivingNanos(nowNanos) >= MIN_EVICTION_AGE_NANOS;
   }
 
-  private Optional<ClientConnection> longestStalled() {
-    long nowNanos = System.nanoTime();
-    return connections.stream()
-        .filter(connection -> connection.receivingNanos(nowNanos) >= MIN_EVICTION_AGE_NANOS)
-        .max(Comparator.comparingLong(connection -> connection.receivingNanos(nowNanos)));
+  private static long waitingNanos(ClientConnection connection, long nowNanos) {
+    return connection.isIdleAfterResponse()
+        ? connection.times().idleNanos(nowNanos)
+        : connection.receivingNanos(nowNanos);
+  }
+
+  private static void evict(ClientConnection connection) {
+    if (connection.isIdleAfterResponse()) {
+      connection.closeAfterWrites();
+    } else {
+      connection.rejectIncompleteRequest();
+    }
   }
 }
