Give a first endpoint list that keeps arriving 6.5 s instead of 4.5 s

Cause: the first complete list had the limit of an established watch's silence, and each next watch began anew. Mend: a limit of its own, just above the 6 s after which a change counts as notified; a list that stops arriving fails after 2.5 s as before.

--- a/src/main/java/loadbalancer/proxy/discovery/EndpointListWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/EndpointListWatch.java
@@ -111,7 +111,7 @@
     channel = connected.channel();
     progressDeadline =
         failAfter(timeouts.firstResponseTimeoutMillis(), "no first list or heartbeat");
-    firstListDeadline = failAfter(timeouts.idleTimeoutMillis(), "first list not complete");
+    firstListDeadline = failAfter(timeouts.firstListTimeoutMillis(), "first list not complete");
     connected.addListener(
         result -> {
           if (!result.isSuccess()) {
--- a/src/main/java/loadbalancer/proxy/discovery/WatchTimeouts.java
+++ b/src/main/java/loadbalancer/proxy/discovery/WatchTimeouts.java
@@ -5,10 +5,12 @@
  *
  * @param firstResponseTimeoutMillis the maximum time from the start of the connect to the first
  *     list data or heartbeat, and between two parts of the first list
- * @param idleTimeoutMillis the maximum time between lists or heartbeats of an established watch,
- *     and from the start of the connect to the first complete list or heartbeat
+ * @param firstListTimeoutMillis the maximum time from the start of the connect to the first
+ *     complete list or heartbeat
+ * @param idleTimeoutMillis the maximum time between lists or heartbeats of an established watch
  */
-public record WatchTimeouts(long firstResponseTimeoutMillis, long idleTimeoutMillis) {
+public record WatchTimeouts(
+    long firstResponseTimeoutMillis, long firstListTimeoutMillis, long idleTimeoutMillis) {
 
   /** The interval of the service's heartbeats, each an empty line. */
   private static final long HEARTBEAT_MILLIS = 2_000;
@@ -30,7 +32,14 @@
    */
   static final long FIRST_RESPONSE_TIMEOUT_MILLIS = HEARTBEAT_MILLIS + HEARTBEAT_TOLERANCE_MILLIS;
 
+  /**
+   * The protocol treats a change as notified 6 s after the service had it, and a list that takes
+   * that long to arrive is still in time. Another watch would have to begin with it anew.
+   */
+  static final long FIRST_LIST_TIMEOUT_MILLIS = 6_000 + HEARTBEAT_TOLERANCE_MILLIS;
+
   /** The timeouts that follow from the time limits of the protocol. */
   public static final WatchTimeouts PROTOCOL =
-      new WatchTimeouts(FIRST_RESPONSE_TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS);
+      new WatchTimeouts(
+          FIRST_RESPONSE_TIMEOUT_MILLIS, FIRST_LIST_TIMEOUT_MILLIS, IDLE_TIMEOUT_MILLIS);
 }
--- a/src/test/java/loadbalancer/proxy/discovery/WatchTimeoutsTest.java
+++ b/src/test/java/loadbalancer/proxy/discovery/WatchTimeoutsTest.java
@@ -32,6 +32,10 @@
     assertTrue(
         WatchTimeouts.IDLE_TIMEOUT_MILLIS > 2 * heartbeatMillis,
         "one late heartbeat must not fail the watch");
+    // Guards against a slow list that is given up each time just before its end.
+    assertTrue(
+        WatchTimeouts.FIRST_LIST_TIMEOUT_MILLIS > notifiedAfterIdleMillis,
+        "a list that is complete when it counts as notified must not be given up");
     assertTrue(
         WatchTimeouts.FIRST_RESPONSE_TIMEOUT_MILLIS > heartbeatMillis,
         "a late first heartbeat must not fail the watch");
