--- a/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientConnection.java
@@ -51,11 +51,7 @@
   public void handlerAdded(ChannelHandlerContext handlerContext) {
     context = handlerContext;
     writer = new ResponseWriter(handlerContext, server.responseMemory());
-    readControl =
-        new ReadControl(
-            handlerContext.channel(),
-            handlerContext.pipeline().get(RequestDecoder.class),
-            () -> state);
+    readControl = new ReadControl(handlerContext, () -> state);
   }
 
   /** Returns whether the connection awaits a request, no byte of which has been received. */
@@ -91,8 +87,12 @@
     return isAwaitingRequest() ? times.requestAgeNanos(nowNanos) : 0;
   }
 
-  /** Responds 408 to a request that has not arrived completely, and closes the connection. */
-  void rejectIncompleteRequest() {
+  /** Closes the connection; responds 408 first if a request has arrived in part. */
+  void endIncompleteRequest() {
+    if (isIdle()) {
+      closeAfterWrites();
+      return;
+    }
     rejectInput(
         new InvalidRequestException(
             HttpResponseStatus.REQUEST_TIMEOUT.code(), "complete request not received in time"));
@@ -202,14 +202,12 @@
       return;
     }
     try {
-      ClientRequest request = server.requestParser().parse(head, body);
-      submit(request.afterWaiting(times.sinceLastReadNanos()));
-      readControl.update();
+      submit(server.requestParser().parse(head, body, times.sinceLastReadNanos()));
     } catch (InvalidRequestException e) {
       respond(ResponseFactory.invalidRequest(e, head.method()));
       readControl.startPenalty();
-      readControl.update();
     }
+    readControl.update();
   }
 
   private void submit(ClientRequest request) throws InvalidRequestException {
@@ -272,7 +270,6 @@
       readControl.endTurn();
     }
     readControl.update();
-    server.responseWritten(this);
   }
 
   @Override
--- a/src/main/java/loadbalancer/proxy/downstream/ClientRequestParser.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ClientRequestParser.java
@@ -66,10 +66,12 @@
    *
    * @param head the request line and headers
    * @param body the complete body
+   * @param waitedNanos how long the request has waited since its receipt, in nanoseconds
    * @throws InvalidRequestException if the request violates the protocol or names an unknown
    *     request class or tenant
    */
-  ClientRequest parse(HttpRequest head, byte[] body) throws InvalidRequestException {
+  ClientRequest parse(HttpRequest head, byte[] body, long waitedNanos)
+      throws InvalidRequestException {
     HttpHeaders headers = head.headers();
     checkNonRepeatableHeaders(headers);
     RequestClass requestClass = requestClass(headers);
@@ -84,7 +86,7 @@
         requestClass,
         tenant,
         BoundedKey.of(headers.get(RequestHeaders.SESSION_KEY)),
-        Math.min(timeLeftNanos, requestClass.deadlineNanos()),
+        Math.max(0, Math.min(timeLeftNanos, requestClass.deadlineNanos()) - waitedNanos),
         workHintNanos,
         "1".equals(headers.get(RequestHeaders.CLIENT_RETRY)),
         new RequestMessage(
--- a/src/main/java/loadbalancer/proxy/downstream/ConnectionTable.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ConnectionTable.java
@@ -7,8 +7,8 @@
 import java.util.Set;
 
 /**
- * The open client connections, ordered by last response, and the limit on their number. Not
- * thread-safe: for use on the event loop.
+ * The open client connections and the limit on their number. Not thread-safe: for use on the event
+ * loop.
  */
 final class ConnectionTable {
 
@@ -20,7 +20,6 @@
 
   private final int maxConnections;
 
-  /** Ordered by time of last response, least recent first; a new connection is added last. */
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
   /** Creates an empty table that is full at the given number of connections. */
@@ -38,13 +37,6 @@
     connections.remove(connection);
   }
 
-  /** Moves the connection to the end of the order; does nothing if it is not in the table. */
-  void responseWritten(ClientConnection connection) {
-    if (connections.remove(connection)) {
-      connections.add(connection);
-    }
-  }
-
   /** Returns the number of open connections. */
   int size() {
     return connections.size();
@@ -65,7 +57,7 @@
     return connections.size() > maxConnections * fraction;
   }
 
-  /** Returns a copy of the connections, the one with the least recent response first. */
+  /** Returns a copy of the connections. */
   List<ClientConnection> snapshot() {
     return List.copyOf(connections);
   }
@@ -102,7 +94,7 @@
         connections.stream()
             .filter(connection -> isEvictable(connection, nowNanos))
             .max(Comparator.comparingLong(connection -> waitingNanos(connection, nowNanos)));
-    longest.ifPresent(ConnectionTable::evict);
+    longest.ifPresent(ClientConnection::endIncompleteRequest);
     return longest.isPresent();
   }
 
@@ -116,12 +108,4 @@
         ? connection.times().idleNanos(nowNanos)
         : connection.receivingNanos(nowNanos);
   }
-
-  private static void evict(ClientConnection connection) {
-    if (connection.isIdleAfterResponse()) {
-      connection.closeAfterWrites();
-    } else {
-      connection.rejectIncompleteRequest();
-    }
-  }
 }
--- a/src/main/java/loadbalancer/proxy/downstream/ConnectionTimeouts.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ConnectionTimeouts.java
@@ -75,7 +75,7 @@
     if (connection.writer().pendingNanos(nowNanos) > MAX_WRITE_PENDING_NANOS) {
       connection.writer().abort();
     } else if (connection.receivingNanos(nowNanos) > maxReceivingNanos(connection)) {
-      connection.rejectIncompleteRequest();
+      connection.endIncompleteRequest();
     } else if (connection.isIdle()
         && connection.times().idleNanos(nowNanos) > maxIdleNanos(connection)) {
       connection.closeAfterWrites();
--- a/src/main/java/loadbalancer/proxy/downstream/DownstreamServer.java
+++ b/src/main/java/loadbalancer/proxy/downstream/DownstreamServer.java
@@ -90,7 +90,7 @@
 
   // ---- Connections
 
-  /** Returns a copy of the open connections, the one with the least recent response first. */
+  /** Returns a copy of the open connections. */
   public List<ClientConnection> connections() {
     return connections.snapshot();
   }
@@ -128,11 +128,6 @@
     }
   }
 
-  /** Records that the most recent response was written to the given connection. */
-  void responseWritten(ClientConnection connection) {
-    connections.responseWritten(connection);
-  }
-
   // ---- Requests
 
   /** Returns the parser that all connections share. */
@@ -202,14 +197,6 @@
   public void endIncompleteRequests() {
     connections.snapshot().stream()
         .filter(ClientConnection::isAwaitingRequest)
-        .forEach(DownstreamServer::endIncompleteRequest);
-  }
-
-  private static void endIncompleteRequest(ClientConnection connection) {
-    if (connection.isIdle()) {
-      connection.closeAfterWrites();
-    } else {
-      connection.rejectIncompleteRequest();
-    }
+        .forEach(ClientConnection::endIncompleteRequest);
   }
 }
--- a/src/main/java/loadbalancer/proxy/downstream/ReadControl.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ReadControl.java
@@ -1,6 +1,7 @@
 package loadbalancer.proxy.downstream;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -21,11 +22,11 @@
   private final Supplier<ConnectionState> state;
   private int pauses;
 
-  /** Creates the control of a connection, whose pipeline contains the decoder. */
-  ReadControl(Channel channel, RequestDecoder decoder, Supplier<ConnectionState> state) {
-    this.channel = channel;
-    this.decoder = decoder;
+  /** Creates the control of a connection, whose pipeline contains a {@link RequestDecoder}. */
+  ReadControl(ChannelHandlerContext context, Supplier<ConnectionState> state) {
     this.state = state;
+    channel = context.channel();
+    decoder = context.pipeline().get(RequestDecoder.class);
     decoder.setTurnListener(this::decodingTurnEnded);
   }
 
--- a/src/main/java/loadbalancer/proxy/downstream/ResponseWriter.java
+++ b/src/main/java/loadbalancer/proxy/downstream/ResponseWriter.java
@@ -63,7 +63,7 @@
 
   /** Returns whether a response has been written that the socket has not taken completely. */
   boolean hasPendingWrites() {
-    return pendingWrites > 0;
+    return pendingWrites > 0 && context.channel().isOpen();
   }
 
   /**
@@ -75,8 +75,7 @@
 
   /** A response whose writing has failed can never be completed, so its connection is closed. */
   private void track(ChannelFuture write, int bytes) {
-    write.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-    if (write.isDone()) {
+    if (write.isSuccess()) {
       return;
     }
     if (pendingWrites == 0) {
@@ -84,17 +83,20 @@
     }
     pendingWrites++;
     write.addListener(this::writeCompleted);
-    if (!memoryPool.add(memory, bytes)) {
+    if (hasPendingWrites() && !memoryPool.add(memory, bytes)) {
       abort();
     }
     if (!hasPendingWrites()) {
-      // The pool or the line above has closed this connection.
+      // The connection has been closed, by the pool or by a failed write.
       memory.release();
     }
   }
 
   private void writeCompleted(Future<? super Void> write) {
     pendingWrites--;
+    if (!write.isSuccess()) {
+      abort();
+    }
     if (pendingWrites == 0) {
       memory.release();
     }
--- a/src/main/java/loadbalancer/proxy/http/ClientRequest.java
+++ b/src/main/java/loadbalancer/proxy/http/ClientRequest.java
@@ -25,18 +25,4 @@
     long timeLeftNanos,
     long workHintNanos,
     boolean isClientRetry,
-    RequestMessage message) {
-
-  /** Returns the request with less time left, as it has waited after its receipt. */
-  public ClientRequest afterWaiting(long nanos) {
-    return new ClientRequest(
-        requestId,
-        requestClass,
-        tenant,
-        affinityKey,
-        Math.max(0, timeLeftNanos - nanos),
-        workHintNanos,
-        isClientRetry,
-        message);
-  }
-}
+    RequestMessage message) {}
--- a/src/test/java/loadbalancer/proxy/ReadinessCheckTest.java
+++ b/src/test/java/loadbalancer/proxy/ReadinessCheckTest.java
@@ -11,8 +11,6 @@
 /** Tests which requests for the path of the readiness check get its response. */
 class ReadinessCheckTest {
 
-  private static final String READINESS_CHECK = "GET /up HTTP/1.1\r\nHost: h\r\n\r\n";
-
   static Stream<Named<String>> clientRequestsForTheReadinessPath() {
     String idempotent = TestClient.idempotentRequest("1", 15_000, "").replace("/look/a?b=c", "/up");
     String keyed = TestClient.keyedRequest("1", 15_000).replace("/order", "/up");
@@ -23,12 +21,12 @@
         Named.of("request that names only an id", header("X-Correlation-Id: 1")),
         Named.of("request with an idempotency key", header("Idempotency-Key: once-1")),
         Named.of("check with a body", header("Content-Length: 4") + "body"),
-        Named.of("POST without headers", READINESS_CHECK.replace("GET", "POST")),
-        Named.of("DELETE without headers", READINESS_CHECK.replace("GET", "DELETE")));
+        Named.of("POST without headers", IdleClients.READINESS_REQUEST.replace("GET", "POST")),
+        Named.of("DELETE without headers", IdleClients.READINESS_REQUEST.replace("GET", "DELETE")));
   }
 
   private static String header(String line) {
-    return READINESS_CHECK.replace("Host: h", "Host: h\r\n" + line);
+    return IdleClients.READINESS_REQUEST.replace("Host: h", "Host: h\r\n" + line);
   }
 
   /** Guards against a 200 for a client's request that no upstream has run. */
@@ -58,7 +56,7 @@
       try (TestProxy proxy = new TestProxy(configuration);
           TestClient client = new TestClient(proxy.address)) {
         assertEquals("fine", client.exchange(request).body());
-        assertEquals("", client.exchange(READINESS_CHECK).body());
+        assertEquals("", client.exchange(IdleClients.READINESS_REQUEST).body());
         assertEquals(1, upstream.requests.size());
       }
     }
--- a/src/test/java/loadbalancer/proxy/downstream/ClientRequestParserTest.java
+++ b/src/test/java/loadbalancer/proxy/downstream/ClientRequestParserTest.java
@@ -28,7 +28,7 @@
         .set("X-Time-Left-Ms", "100")
         .set("X-Account", "any name")
         .set("X-Session-Key", sessionKey);
-    return parser.parse(head, new byte[0]);
+    return parser.parse(head, new byte[0], 0);
   }
 
   /** Guards against long keys, thousands of which would fill the heap as the policy keeps them. */
